--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets: deps build test demo bench format lint schema
+DEPLOYMENT ?= kamena-vrata
+JOBS ?= $(shell nproc)
+SOURCES = $(wildcard src/*.cpp src/*.h tools/*.cpp tools/*.h standins/*.cpp tests/*.cpp tests/*.h bench/*.cpp bench/*.h)
+
+deps:
+	sh tools/install-deps.sh
+
+build: deps
+	cmake -S . -B build -G Ninja
+	cmake --build build -j $(JOBS)
+
+test: build
+	cd build && ctest --output-on-failure -j 4
+
+demo: build
+	build/jasmine_demo --bin build --deployment deployments/$(DEPLOYMENT)
+
+bench: build
+	sh bench/run.sh build
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint:
+	sh tools/lint.sh build
+
+schema:
+	cd schema && capnp compile -oc++:../generated jasmineloom.capnp etcd.capnp
+
+.PHONY: deps build test demo bench format format-check lint schema
--- /dev/null
+++ b/schema/jasmineloom.capnp
@@ -0,0 +1,232 @@
+# Messages and interfaces of jasmineloom: operators' calls, declarations and the links between nodes.
+@0xd3c1a5f28e6b9047;
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("jasmineloom::wire");
+
+# --- Declarations: what operators keep in version control ---
+
+struct Service {
+  name @0 :Text;
+  initialVersion @1 :Text;
+  # Upstream version that gets the traffic when the service is first declared. Later versions come by rollouts only.
+}
+
+struct Route {
+  name @0 :Text;
+  prefix @1 :Text;        # Path prefix, matched at segment boundaries; the longest match wins.
+  service @2 :Text;
+  idempotent @3 :Bool;    # False: a request runs at most once.
+  deadlineMs @4 :UInt32 = 2000;
+  worth @5 :UInt32 = 1;   # Weight used when load has to be shed; higher is kept longer.
+}
+
+struct Rollout {
+  id @0 :Text;
+  service @1 :Text;
+  fromVersion @2 :Text;
+  toVersion @3 :Text;
+  startMs @4 :UInt64;     # Unix time, ms.
+  deadlineMs @5 :UInt64;  # Unix time, ms; all traffic has moved by then or the move was taken back.
+}
+
+struct Declarations {
+  services @0 :List(Service);
+  routes @1 :List(Route);
+}
+
+struct ConfigObject {
+  union {
+    service @0 :Service;
+    route @1 :Route;
+    rollout @2 :Rollout;
+  }
+}
+
+# --- What the store holds ---
+
+struct OperationRecord {
+  id @0 :Text;
+  version @1 :UInt64;
+  author @2 :Text;
+  summary @3 :Text;
+  timeMs @4 :UInt64;
+}
+
+struct SectionRef {
+  index @0 :UInt32;
+  hash @1 :Text;
+}
+
+struct Head {
+  version @0 :UInt64;
+  digest @1 :UInt64;
+  sections @2 :List(SectionRef);
+  operations @3 :List(OperationRecord);  # The newest last.
+  retired @4 :List(Text);                # Section hashes that the next change may delete.
+}
+
+struct Section {
+  objects @0 :List(ConfigObject);
+}
+
+# --- Links between nodes ---
+
+enum HostState {
+  starting @0;
+  ready @1;
+  draining @2;
+  gone @3;
+}
+
+struct HostRecord {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  state @3 :HostState;
+  dataCentre @4 :Text;
+  rpcAddress @5 :Text;
+  gateAddress @6 :Text;
+  service @7 :Text;
+  version @8 :Text;
+  slots @9 :UInt32;
+  replaced @10 :UInt64;
+}
+
+struct ConfigUpdate {
+  version @0 :UInt64;
+  baseVersion @1 :UInt64;   # 0: a full snapshot.
+  digest @2 :UInt64;        # Of the whole snapshot after the update.
+  upserts @3 :List(ConfigObject);
+  removals @4 :List(Text);  # Object keys.
+}
+
+enum RolloutPhase {
+  running @0;
+  done @1;
+  takenBack @2;
+}
+
+struct RolloutProgress {
+  id @0 :Text;
+  phase @1 :RolloutPhase;
+  stage @2 :UInt32;
+  reason @3 :Text;
+  timeMs @4 :UInt64;
+}
+
+struct SubtreeSummary {
+  nodes @0 :UInt32;
+  minVersion @1 :UInt64;
+  laggards @2 :List(Text);
+}
+
+struct Exchange {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  heldVersion @2 :UInt64;
+  heldDigest @3 :UInt64;
+  knownVersion @4 :UInt64;     # Highest version the sender has heard of.
+  records @5 :List(HostRecord);
+  cursor @6 :UInt64;           # Position in the sender's table after these records.
+  seenCursor @7 :UInt64;       # How far the sender has read the receiver's table.
+  tableDigest @8 :UInt64;
+  progress @9 :List(RolloutProgress);
+  summary @10 :SubtreeSummary;
+  config @11 :ConfigUpdate;
+  wantFull @12 :Bool;          # The sender could not use a delta.
+  joining @13 :Bool;           # The sender reports as a child of the receiver.
+  seenIncarnation @14 :UInt64; # Incarnation of the receiver that seenCursor belongs to.
+}
+
+struct VersionCounts {
+  route @0 :Text;
+  version @1 :Text;
+  requests @2 :UInt64;
+  failures @3 :UInt64;
+  latency @4 :List(UInt32);    # Counts by logarithmic bucket.
+}
+
+struct EvidenceReport {
+  rollout @0 :Text;
+  host @1 :Text;
+  incarnation @2 :UInt64;
+  bucket @3 :UInt64;           # Index of the time bucket, rising.
+  counts @4 :List(VersionCounts);
+}
+
+interface Door {
+  enter @0 (secret :Text, host :Text) -> (peer :Peer, operator :Operator);
+  # Fails with "refused" if the secret is not the cluster's.
+}
+
+interface Peer {
+  exchange @0 (message :Exchange, holdMs :UInt32) -> (message :Exchange);
+  evidence @1 (reports :List(EvidenceReport)) -> (progress :List(RolloutProgress));
+  floor @2 (host :Text) -> (version :UInt64);
+  ping @3 () -> (host :Text, incarnation :UInt64);
+}
+
+# --- Operators ---
+
+enum Status {
+  ok @0;
+  refused @1;            # The change is not valid; nothing was changed.
+  conflict @2;           # Another change won; nothing was changed (ABORTED).
+  storeUnavailable @3;   # The store did not answer; see "unknown" in the message.
+  timeout @4;
+  unknown @5;            # The store may or may not have taken the change: ask again with the same operation id.
+}
+
+struct Outcome {
+  status @0 :Status;
+  message @1 :Text;
+  version @2 :UInt64;
+}
+
+struct TimelineEvent {
+  timeUs @0 :UInt64;
+  host @1 :Text;
+  kind @2 :Text;
+  subject @3 :Text;
+  version @4 :UInt64;
+  text @5 :Text;
+}
+
+struct NodeStatus {
+  host @0 :Text;
+  heldVersion @1 :UInt64;
+  knownVersion @2 :UInt64;
+  role @3 :Text;
+  parent @4 :Text;
+  children @5 :UInt32;
+  summary @6 :SubtreeSummary;
+  storeReachable @7 :Bool;
+  controlBytesIn @8 :UInt64;
+  controlBytesOut @9 :UInt64;
+  storeCalls @10 :UInt64;
+  uptimeMs @11 :UInt64;
+}
+
+struct RolloutStatus {
+  rollout @0 :Rollout;
+  progress @1 :RolloutProgress;
+  sharePerMille @2 :UInt32;
+}
+
+interface Operator {
+  apply @0 (declarations :Declarations, operationId :Text, author :Text, baseVersion :UInt64, dryRun :Bool)
+      -> (outcome :Outcome, changes :List(Text));
+  # baseVersion 0: against whatever is accepted now. Errors: refused, conflict, storeUnavailable, unknown.
+  startRollout @1 (rollout :Rollout, operationId :Text, author :Text) -> (outcome :Outcome);
+  # Errors: refused (no such service, service busy, deadline too near), conflict, storeUnavailable, unknown.
+  abortRollout @2 (id :Text, reason :Text) -> (outcome :Outcome);
+  rollouts @3 () -> (rollouts :List(RolloutStatus));
+  get @4 () -> (version :UInt64, declarations :Declarations);
+  history @5 () -> (outcome :Outcome, operations :List(OperationRecord));
+  inForce @6 (version :UInt64) -> (everywhere :Bool, nodes :UInt32, expected :UInt32, laggards :List(Text));
+  status @7 () -> (nodes :List(NodeStatus), hosts :List(HostRecord));
+  timeline @8 () -> (events :List(TimelineEvent), nowUs :UInt64);
+  nodeStatus @9 () -> (node :NodeStatus);
+  setLogLevel @10 (level :Text) -> (outcome :Outcome);
+  drain @11 () -> (outcome :Outcome);
+}
--- /dev/null
+++ b/src/config_holder.cpp
@@ -0,0 +1,55 @@
+/// @file config_holder.cpp What a node holds of the configuration, and the rules for replacing it.
+#include "config_holder.h"
+
+#include <algorithm>
+
+namespace jasmineloom {
+
+namespace {
+constexpr std::size_t MaxEarlierSnapshots = 16;
+} // namespace
+
+OfferResult ConfigHolder::offer(const ConfigDelta &delta) {
+  noteKnown(delta.Version);
+  if (delta.Version <= heldVersion())
+    return OfferResult::Stale;
+  if (delta.Version < Floor)
+    return OfferResult::BelowFloor;
+  absl::StatusOr<SnapshotPtr> staged = applyDelta(Held.get(), delta);
+  if (!staged.ok()) {
+    LastError = std::string(staged.status().message());
+    const bool gap = absl::IsFailedPrecondition(staged.status());
+    const bool drift = delta.BaseVersion != 0;
+    return gap || drift ? OfferResult::NeedFull : OfferResult::Refused;
+  }
+  if (absl::Status status = validateSnapshot(**staged); !status.ok()) {
+    LastError = std::string(status.message());
+    return OfferResult::Refused;
+  }
+  if (Held) {
+    Earlier.push_front(Held);
+    if (Earlier.size() > MaxEarlierSnapshots)
+      Earlier.pop_back();
+  }
+  Held = *std::move(staged);
+  return OfferResult::Applied;
+}
+
+void ConfigHolder::raiseFloor(ConfigVersion version) {
+  Floor = std::max(Floor, version);
+  noteKnown(version);
+}
+
+void ConfigHolder::noteKnown(ConfigVersion version) { Known = std::max(Known, version); }
+
+ConfigDelta ConfigHolder::deltaFrom(ConfigVersion version, std::uint64_t digest) const {
+  if (!Held)
+    return {};
+  for (const SnapshotPtr &base : Earlier) {
+    if (base->Version == version && base->Digest == digest)
+      return diffSnapshots(base.get(), *Held);
+  }
+  return diffSnapshots(nullptr, *Held);
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/control_task.h
@@ -0,0 +1,156 @@
+/// @file control_task.h The thread of all decisions on configuration, membership and rollouts.
+#pragma once
+
+#include "change_cmd.h"
+#include "mesh_node.h"
+#include "rpc_link.h"
+#include "steward_base.h"
+#include "store_client.h"
+#include "timeline.h"
+
+#include <kj/async-io.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace jasmineloom {
+
+/// What the control task is set up with.
+struct ControlSettings {
+  NodeIdentity Identity;
+  std::string RpcAddress; ///< IP:port to listen at.
+  std::vector<std::string> Seeds;
+  std::string Secret;
+  std::uint64_t Seed = 0;
+};
+
+class LinkTask;
+
+/// Owns a KJ loop, the links to other nodes and the operators' calls.
+class ControlTask {
+public:
+  ControlTask(ControlSettings settings, TrafficMailbox &traffic, ControlMailbox &inbox);
+  ~ControlTask();
+  ControlTask(const ControlTask &) = delete;
+  ControlTask &operator=(const ControlTask &) = delete;
+
+  /// Runs until the host has drained.
+  /// @returns 0, or 1 if the port can't be bound.
+  int run();
+
+  // --- For the links and the operators' calls, which run in this task ---
+
+  MeshNode &node() { return Node; }
+  PeerCache &peers() { return Peers; }
+  StoreClient &store() { return Store; }
+  Timeline &timeline() { return Events; }
+  const ControlSettings &settings() const { return Settings; }
+  kj::Timer &timer() { return Io.provider->getTimer(); }
+  std::uint64_t draw(std::uint64_t below) { return Random() % below; }
+
+  /// Acts on what a message or a call has changed.
+  void changed(const ExchangeEffect &effect);
+  /// Adds to the time line and the log.
+  void note(const std::string &kind, const std::string &subject, const std::string &text);
+  /// @returns when the peer has news to hear, or after \p hold.
+  kj::Promise<void> whenNews(const HostID &peer, DurationMs hold);
+  /// Runs a change against the store and takes an accepted one over.
+  kj::Promise<ChangeOutcome> runChange(ChangeRequest request, std::vector<std::string> *changes);
+  /// Takes gates' reports on rollouts that this host steers.
+  void takeEvidence(const EvidenceReport &report);
+  /// Starts the drain of this host.
+  void drain(const std::string &cause);
+  /// Runs a promise to its end; a failure is logged.
+  void spawn(kj::Promise<void> promise, const char *what);
+  /// @returns a description of this node for operators.
+  void describe(wire::NodeStatus::Builder to);
+  const TreePlace &place() const { return Place; }
+  /// Asks the links to look for news.
+  void pokeLinks();
+  /// The link failed; its peer is left out for a while.
+  void linkFailed(const HostID &peer);
+
+private:
+  struct Waiter {
+    HostID Peer;
+    kj::Own<kj::PromiseFulfiller<void>> Fulfiller;
+  };
+  class ErrorHandler;
+
+  void handleAll();
+  void handle(const UpstreamAnnounced &message);
+  void handle(EvidenceTick &message);
+  void handle(const StoreReply &message);
+  void handle(const StoreWatchEvent &message);
+  void handle(const DrainRequested &message);
+  void handle(const Drained &message);
+  void handle(const TrafficNote &message);
+
+  kj::Promise<void> wakeLoop();
+  kj::Promise<void> acceptLoop(kj::Own<kj::ConnectionReceiver> receiver);
+  kj::Promise<void> tickLoop();
+  kj::Promise<void> stewardLoop();
+  kj::Promise<void> confirmFloor();
+  kj::Promise<void> storeLoop();
+  kj::Promise<void> leaseLoop();
+  kj::Promise<void> readHead();
+  kj::Promise<void> readSections(Head head);
+  kj::Promise<void> stepChange(std::shared_ptr<ChangeCommand> command, ChangeStep step,
+                               std::shared_ptr<ChangeOutcome> outcome);
+  kj::Promise<void> auditOne();
+  kj::Promise<void> foldRollout(const RolloutSpec &spec, const RolloutProgress &progress);
+  void publishView();
+  void schedulePublish();
+  void placeCheck();
+  void schedulePlaceCheck();
+  void wantLinks();
+  void ensureLink(const HostID &peer, bool joining, std::set<HostID> &wanted);
+  void trySeeds();
+  void steer();
+  void sendEvidence(const std::vector<EvidenceReport> &reports);
+  void wakeWaiters();
+  bool mayServe() const;
+  bool failedRecently(const HostID &peer) const;
+
+  ControlSettings Settings;
+  TrafficMailbox &Traffic;
+  ControlMailbox &Inbox;
+  kj::AsyncIoContext Io;
+  int WakePipe[2] = {-1, -1};
+  kj::Own<kj::AsyncInputStream> WakeStream;
+  char WakeBuffer[64] = {};
+  ControlBytes Bytes;
+  MeshNode Node;
+  StoreClient Store;
+  PeerCache Peers;
+  Timeline Events;
+  Steward Steering;
+  std::mt19937_64 Random;
+  TreePlace Place;
+  std::map<HostID, std::unique_ptr<LinkTask>> Links;
+  std::map<HostID, TimeMs> LinkFailures;
+  std::map<HostID, std::uint32_t> AuditFailures;
+  std::vector<Waiter> Waiters;
+  std::set<RolloutID> Folding;
+  bool PublishPending = false;
+  bool PlacePending = false;
+  bool FloorConfirmed = false;
+  bool WatchOpen = false;
+  bool Reading = false;
+  bool ReadAgain = false;
+  bool Draining = false;
+  bool StoreWasReachable = true;
+  std::int64_t RootLease = 0;
+  TimeMs NextSeeds = 0;
+  TimeMs NextPoll = 0;
+  TimeMs NextAudit = 0;
+  TimeMs Started = 0;
+  kj::Own<kj::PromiseFulfiller<void>> StopFulfiller;
+  kj::Own<kj::TaskSet::ErrorHandler> Errors;
+  kj::Own<kj::TaskSet> Tasks;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/event_util.cpp
@@ -0,0 +1,53 @@
+/// @file event_util.cpp Owning handles for libevent objects, and the present time.
+#include "event_util.h"
+
+#include <chrono>
+
+namespace jasmineloom {
+
+EvBufferPtr makeBuffer() { return EvBufferPtr(evbuffer_new()); }
+
+EvBufferPtr makeBuffer(std::string_view text) {
+  EvBufferPtr buf = makeBuffer();
+  evbuffer_add(buf.get(), text.data(), text.size());
+  return buf;
+}
+
+std::string textOf(evbuffer *buf) {
+  std::string text(evbuffer_get_length(buf), '\0');
+  evbuffer_copyout(buf, text.data(), text.size());
+  return text;
+}
+
+TimeMs wallClockMs() { return wallClockUs() / 1000; }
+
+std::uint64_t wallClockUs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+std::uint64_t steadyClockUs() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+timeval toTimeval(DurationMs duration) {
+  return {static_cast<time_t>(duration / MsPerSecond),
+          static_cast<suseconds_t>(duration % MsPerSecond * 1000)};
+}
+
+Timer::Timer(event_base *base, std::function<void()> action) : Action(std::move(action)) {
+  const auto fire = [](evutil_socket_t, short, void *arg) { static_cast<Timer *>(arg)->Action(); };
+  Event.reset(event_new(base, -1, 0, fire, this));
+}
+
+void Timer::start(DurationMs delay) {
+  const timeval tv = toTimeval(delay);
+  event_add(Event.get(), &tv);
+}
+
+void Timer::stop() { event_del(Event.get()); }
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/event_util.h
@@ -0,0 +1,58 @@
+/// @file event_util.h Owning handles for libevent objects, and the present time.
+#pragma once
+
+#include "ids_type.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include <functional>
+#include <memory>
+
+namespace jasmineloom {
+
+struct EventBaseDeleter {
+  void operator()(event_base *base) const { event_base_free(base); }
+};
+struct EventDeleter {
+  void operator()(event *ev) const { event_free(ev); }
+};
+struct EvBufferDeleter {
+  void operator()(evbuffer *buf) const { evbuffer_free(buf); }
+};
+using EventBasePtr = std::unique_ptr<event_base, EventBaseDeleter>;
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+using EvBufferPtr = std::unique_ptr<evbuffer, EvBufferDeleter>;
+
+/// @returns an empty buffer.
+EvBufferPtr makeBuffer();
+/// @returns a buffer that holds \p text.
+EvBufferPtr makeBuffer(std::string_view text);
+/// @returns the content of a buffer.
+std::string textOf(evbuffer *buf);
+
+/// @returns Unix time. Only the tasks call it; functions that decide take it as an argument.
+TimeMs wallClockMs();
+std::uint64_t wallClockUs();
+/// @returns a clock that never steps, microseconds; for measuring durations only.
+std::uint64_t steadyClockUs();
+
+timeval toTimeval(DurationMs duration);
+
+/// A repeated or single timer that calls a function.
+class Timer {
+public:
+  Timer(event_base *base, std::function<void()> action);
+  ~Timer() = default;
+  Timer(const Timer &) = delete;
+  Timer &operator=(const Timer &) = delete;
+  /// Calls the action once after a delay.
+  void start(DurationMs delay);
+  void stop();
+
+private:
+  std::function<void()> Action;
+  EventPtr Event;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/gate_task.cpp
@@ -0,0 +1,439 @@
+/// @file gate_task.cpp The gate beside an upstream: admission, key claims, forwarding, evidence.
+#include "gate_task.h"
+
+#include "secret.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
+namespace jasmineloom {
+
+namespace {
+
+constexpr DurationMs TickPeriod = 20;
+constexpr DurationMs EvidencePeriod = 250;
+constexpr DurationMs ClaimTimeout = 500;
+/// Time in which a cold upstream's latency is no evidence.
+constexpr DurationMs WarmUp = 5 * MsPerSecond;
+constexpr const char *ClaimPath = "/.jasmineloom/claim/";
+constexpr const char *ReleasePath = "/.jasmineloom/release/";
+constexpr const char *CrashPath = "/.jasmineloom/crash/";
+constexpr const char *SecretHeader = "x-jasmine-secret";
+constexpr int StatusNew = 200;
+constexpr int StatusUsed = 409;
+constexpr int StatusFull = 507;
+constexpr int FirstServerError = 500;
+
+std::uint64_t fingerprintOf(const HttpRequest &request) {
+  std::string text = request.MethodName + ' ' + request.Path + ' ';
+  text += textOf(request.Body.get());
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::string headerOr(const HttpRequest &request, const char *name, const char *fallback) {
+  const std::string *value = findHeader(request.Headers, name);
+  return value == nullptr ? fallback : *value;
+}
+
+std::uint64_t numberOr(const HttpRequest &request, const char *name, std::uint64_t fallback) {
+  const std::string *value = findHeader(request.Headers, name);
+  std::uint64_t number = 0;
+  return value != nullptr && absl::SimpleAtoi(*value, &number) ? number : fallback;
+}
+
+} // namespace
+
+struct GateTask::Job {
+  HttpRequest Request;
+  GateRequest Asked;
+  RouteName Route;
+  std::string Key;
+  std::uint64_t KeyHash = 0;
+  std::vector<HostID> Claimed; ///< Holders that said New, this host included.
+  std::size_t ClaimsOpen = 0;
+  bool KeyUsed = false;
+  bool KeyFull = false;
+  bool KeyLost = false;
+  bool Running = false;
+  bool CallerGone = false;
+  HttpCallID Call = 0;
+  std::uint64_t StartedUs = 0;
+};
+
+GateTask::GateTask(event_base *base, const TrafficSettings &settings, HttpPool &pool,
+                   Metrics &metrics, ControlMailbox &control)
+    : Settings(settings), Pool(pool), Figures(metrics), Control(control),
+      Server(
+          base,
+          {settings.MaxBody, settings.MaxHeaderBytes * 2, settings.MaxConnections,
+           60 * MsPerSecond},
+          [this](HttpRequest request) { take(std::move(request)); },
+          [this](RequestID id) { gone(id); }),
+      Ticker(base, [this] { tick(); }), EvidenceTimer(base, [this] { sendEvidence(); }) {
+  Ticker.start(TickPeriod);
+  EvidenceTimer.start(EvidencePeriod);
+}
+
+GateTask::~GateTask() = default;
+
+bool GateTask::listen() { return Server.bind(Settings.ListenAddress, Settings.GatePort); }
+
+void GateTask::setView(RoutingViewPtr view) {
+  View = std::move(view);
+  const ServiceView *service = View->serviceNamed(Admission.upstream().Service);
+  const bool takenBack = service != nullptr && service->Rollout.has_value() &&
+                         service->Progress.Phase == RolloutPhase::TakenBack &&
+                         service->Rollout->To == Admission.upstream().Version;
+  Admission.setTakenBack(takenBack);
+}
+
+void GateTask::setUpstream(const LocalUpstream &upstream, const std::string &address,
+                           bool draining) {
+  if (UpstreamAddress != address || !(Admission.upstream() == upstream))
+    UpstreamSince = wallClockMs();
+  UpstreamAddress = address;
+  Admission.setUpstream(upstream);
+  Admission.setDraining(draining);
+  if (View)
+    setView(View);
+}
+
+void GateTask::beginDrain() { Admission.setDraining(true); }
+
+bool GateTask::trusted(const HttpRequest &request) const {
+  return sameSecret(headerOr(request, SecretHeader, ""), Settings.Secret);
+}
+
+void GateTask::take(HttpRequest request) {
+  if (!trusted(request)) {
+    Server.reply(request.ID, {403, {{header::Reason, "secret"}}, makeBuffer("refused\n")});
+    return;
+  }
+  if (absl::StartsWith(request.Path, "/.jasmineloom/")) {
+    if (absl::StartsWith(request.Path, CrashPath))
+      takeCrash(request);
+    else
+      takeClaim(request);
+    return;
+  }
+  const TimeMs now = wallClockMs();
+  auto made = std::make_unique<Job>();
+  Job &job = *made;
+  job.Request = std::move(request);
+  job.Route = RouteName(headerOr(job.Request, header::Route, ""));
+  if (findHeader(job.Request.Headers, header::Once) != nullptr)
+    job.Key = headerOr(job.Request, header::Key, "");
+  job.Asked.Ticket = job.Request.ID;
+  job.Asked.Service = ServiceName(headerOr(job.Request, header::Service, ""));
+  job.Asked.Version = VersionLabel(headerOr(job.Request, header::Version, ""));
+  job.Asked.Worth = static_cast<std::uint32_t>(numberOr(job.Request, header::Worth, 1));
+  job.Asked.Deadline = now + numberOr(job.Request, header::DeadlineMs, 0);
+  job.Asked.Fingerprint = fingerprintOf(job.Request);
+  Jobs.emplace(job.Request.ID, std::move(made));
+  const AdmissionResult admitted = Admission.admit(job.Asked, now);
+  if (admitted.Evicted.has_value())
+    refuse(*Jobs.at(*admitted.Evicted), Outcome::NotRun, Refusal::Overloaded);
+  if (admitted.Result == Admission::Refused)
+    refuse(job, Outcome::NotRun, admitted.Reason);
+  if (admitted.Result == Admission::Run)
+    begin(job);
+}
+
+void GateTask::takeClaim(const HttpRequest &request) {
+  const bool release = absl::StartsWith(request.Path, ReleasePath);
+  const std::string text =
+      request.Path.substr(std::char_traits<char>::length(release ? ReleasePath : ClaimPath));
+  std::uint64_t key = 0;
+  if (!absl::SimpleAtoi(text, &key)) {
+    Server.reply(request.ID, {400, {}, nullptr});
+    return;
+  }
+  if (release) {
+    Keys.release(key);
+    Server.reply(request.ID, {StatusNew, {}, nullptr});
+    return;
+  }
+  const KeyClaim claim = Keys.claim(key, wallClockMs());
+  const int status = claim == KeyClaim::New    ? StatusNew
+                     : claim == KeyClaim::Used ? StatusUsed
+                                               : StatusFull;
+  Server.reply(request.ID, {status, {}, nullptr});
+}
+
+void GateTask::takeCrash(const HttpRequest &request) {
+  std::uint64_t fingerprint = 0;
+  const std::string text = request.Path.substr(std::char_traits<char>::length(CrashPath));
+  if (absl::SimpleAtoi(text, &fingerprint))
+    Admission.crashes().note(fingerprint, wallClockMs());
+  Server.reply(request.ID, {StatusNew, {}, nullptr});
+}
+
+std::string GateTask::gateAddressOf(const HostID &host) const {
+  for (const HostRecord &record : View->Hosts) {
+    if (record.Host == host)
+      return record.GateAddress;
+  }
+  return {};
+}
+
+HttpCall GateTask::peerCall(const std::string &path) const {
+  HttpCall call;
+  call.Path = path;
+  call.Headers = {{SecretHeader, Settings.Secret}};
+  call.Timeout = ClaimTimeout;
+  return call;
+}
+
+void GateTask::begin(Job &job) {
+  job.Running = true;
+  if (job.Key.empty())
+    forward(job);
+  else
+    claimKey(job);
+}
+
+void GateTask::claimKey(Job &job) {
+  const TimeMs now = wallClockMs();
+  const std::string scoped = job.Asked.Service.str() + '/' + job.Key;
+  job.KeyHash = XXH3_64bits(scoped.data(), scoped.size());
+  std::vector<KeyHolder> hosts;
+  for (const HostRecord &record : View->Hosts) {
+    if (record.Service != job.Asked.Service)
+      continue;
+    const TimeMs goneSince = record.State == HostState::Gone ? now : 0;
+    hosts.push_back({record.Host, record.Incarnation, goneSince, record.Replaced != 0});
+  }
+  const KeyPlan plan = planKeyClaim(hosts, scoped, now);
+  if (!plan.Provable) {
+    refuse(job, Outcome::Unknown, Refusal::KeyUnproved);
+    return;
+  }
+  // Own memory first: two copies of a request at this gate can't both pass.
+  const KeyClaim own = Keys.claim(job.KeyHash, now);
+  job.KeyUsed = own == KeyClaim::Used;
+  job.KeyFull = own == KeyClaim::Full;
+  if (own != KeyClaim::New) {
+    claimsEnded(job);
+    return;
+  }
+  job.Claimed.push_back(Settings.Host);
+  const RequestID id = job.Request.ID;
+  for (const HostID &holder : plan.Holders) {
+    if (holder == Settings.Host)
+      continue;
+    ++job.ClaimsOpen;
+    Pool.call(gateAddressOf(holder), peerCall(absl::StrCat(ClaimPath, job.KeyHash)),
+              [this, id, holder](const HttpResult &result) {
+                const auto it = Jobs.find(id);
+                if (it == Jobs.end())
+                  return;
+                if (result.Complete && result.Status == StatusNew)
+                  it->second->Claimed.push_back(holder);
+                claimAnswered(id, result);
+              });
+  }
+  if (job.ClaimsOpen == 0)
+    claimsEnded(job);
+}
+
+void GateTask::claimAnswered(RequestID id, const HttpResult &result) {
+  Job &job = *Jobs.at(id);
+  const bool known =
+      result.Complete &&
+      (result.Status == StatusNew || result.Status == StatusUsed || result.Status == StatusFull);
+  job.KeyLost |= !known;
+  job.KeyUsed |= known && result.Status == StatusUsed;
+  job.KeyFull |= known && result.Status == StatusFull;
+  if (--job.ClaimsOpen == 0)
+    claimsEnded(job);
+}
+
+void GateTask::claimsEnded(Job &job) {
+  if (job.KeyUsed) {
+    refuse(job, Outcome::Unknown, Refusal::KeyInUse);
+    return;
+  }
+  if (job.KeyFull || job.KeyLost || job.CallerGone) {
+    releaseKey(job);
+    if (job.KeyFull)
+      refuse(job, Outcome::NotRun, Refusal::KeyTableFull);
+    else
+      refuse(job, Outcome::Unknown, Refusal::KeyUnproved);
+    return;
+  }
+  forward(job);
+}
+
+void GateTask::releaseKey(Job &job) {
+  for (const HostID &holder : job.Claimed) {
+    if (holder == Settings.Host) {
+      Keys.release(job.KeyHash);
+      continue;
+    }
+    Pool.call(gateAddressOf(holder), peerCall(absl::StrCat(ReleasePath, job.KeyHash)),
+              [](const HttpResult &) {});
+  }
+  job.Claimed.clear();
+}
+
+void GateTask::forward(Job &job) {
+  const TimeMs now = wallClockMs();
+  if (now >= job.Asked.Deadline) {
+    releaseKey(job);
+    refuse(job, Outcome::NotRun, Refusal::Deadline);
+    return;
+  }
+  HttpCall call;
+  call.Method = job.Request.Method;
+  call.Path = job.Request.Path;
+  call.Timeout = job.Asked.Deadline - now;
+  for (const HeaderField &field : job.Request.Headers) {
+    if (absl::StartsWithIgnoreCase(field.Name, header::Prefix))
+      continue;
+    call.Headers.push_back(field);
+  }
+  call.Headers.push_back({header::DeadlineMs, absl::StrCat(call.Timeout)});
+  call.Body = std::move(job.Request.Body);
+  job.StartedUs = steadyClockUs();
+  const RequestID id = job.Request.ID;
+  job.Call = Pool.call(UpstreamAddress, std::move(call),
+                       [this, id](HttpResult result) { forwarded(id, std::move(result)); });
+}
+
+void GateTask::forwarded(RequestID id, HttpResult result) {
+  Job &job = *Jobs.at(id);
+  job.Call = 0;
+  noteEvidence(job, result);
+  if (!result.Complete) {
+    if (!result.BytesSent) {
+      releaseKey(job);
+      refuse(job, Outcome::NotRun, Refusal::Transport);
+      return;
+    }
+    if (!result.TimedOut)
+      noteCrash(job);
+    refuse(job, Outcome::Unknown, result.TimedOut ? Refusal::Deadline : Refusal::Transport);
+    return;
+  }
+  Admission.crashes().clear(job.Asked.Fingerprint);
+  HttpReply reply;
+  reply.Status = result.Status;
+  for (HeaderField &field : result.Headers) {
+    const bool own = absl::StartsWithIgnoreCase(field.Name, header::Prefix);
+    const bool hop = absl::EqualsIgnoreCase(field.Name, "connection") ||
+                     absl::EqualsIgnoreCase(field.Name, "transfer-encoding") ||
+                     absl::EqualsIgnoreCase(field.Name, "content-length");
+    if (!own && !hop)
+      reply.Headers.push_back(std::move(field));
+  }
+  reply.Headers.push_back({header::Outcome, std::string(nameOf(Outcome::Answered))});
+  reply.Body = std::move(result.Body);
+  Server.reply(id, std::move(reply));
+  endRun(job);
+}
+
+void GateTask::noteCrash(const Job &job) {
+  const TimeMs now = wallClockMs();
+  Admission.crashes().note(job.Asked.Fingerprint, now);
+  Control.put(TrafficNote{"upstream-cut", Admission.upstream().Service.str(),
+                          absl::StrCat("request ", job.Request.Path, " got no whole answer")});
+  if (!View)
+    return;
+  for (const HostRecord &record : View->Hosts) {
+    const bool peer = record.Service == job.Asked.Service && record.Host != Settings.Host &&
+                      record.State != HostState::Gone;
+    if (!peer || record.DataCentre != Settings.DataCentre)
+      continue;
+    Pool.call(record.GateAddress, peerCall(absl::StrCat(CrashPath, job.Asked.Fingerprint)),
+              [](const HttpResult &) {});
+  }
+}
+
+void GateTask::noteEvidence(const Job &job, const HttpResult &result) {
+  if (!View)
+    return;
+  const ServiceView *service = View->serviceNamed(job.Asked.Service);
+  if (service == nullptr || !service->Rollout.has_value() ||
+      service->Progress.Phase != RolloutPhase::Running)
+    return;
+  const TimeMs now = wallClockMs();
+  VersionCounts &counts = Evidence[now / EvidenceBucketMs][{job.Route, job.Asked.Version}];
+  ++counts.Requests;
+  const bool failed = !result.Complete || result.Status >= FirstServerError;
+  counts.Failures += failed ? 1 : 0;
+  const bool warm = now >= UpstreamSince + WarmUp;
+  if (!failed && warm)
+    ++counts.Latency[latencyBucket(static_cast<double>(steadyClockUs() - job.StartedUs))];
+}
+
+void GateTask::endRun(Job &job) {
+  const bool wasRunning = job.Running;
+  Jobs.erase(job.Request.ID);
+  if (wasRunning)
+    run(Admission.finish(wallClockMs()));
+}
+
+void GateTask::run(const GateRelease &released) {
+  for (const GateTicket ticket : released.Expired)
+    refuse(*Jobs.at(ticket), Outcome::NotRun, Refusal::Deadline);
+  for (const GateTicket ticket : released.Run) {
+    // A request that ended while an earlier one was begun has given its slot back.
+    const auto it = Jobs.find(ticket);
+    if (it != Jobs.end())
+      begin(*it->second);
+  }
+}
+
+void GateTask::refuse(Job &job, Outcome outcome, Refusal reason) {
+  Figures.noteGate(reason);
+  const int status = outcome == Outcome::NotRun ? 503 : reason == Refusal::KeyInUse ? 409 : 502;
+  const std::string outcomeName(nameOf(outcome));
+  const std::string reasonName(nameOf(reason));
+  Server.reply(job.Request.ID, {status,
+                                {{header::Outcome, outcomeName}, {header::Reason, reasonName}},
+                                makeBuffer(absl::StrCat(outcomeName, ": ", reasonName, "\n"))});
+  endRun(job);
+}
+
+void GateTask::gone(RequestID id) {
+  const auto it = Jobs.find(id);
+  if (it == Jobs.end())
+    return;
+  Job &job = *it->second;
+  if (!job.Running) {
+    Admission.cancelQueued(id);
+    Jobs.erase(it);
+    return;
+  }
+  if (job.Call == 0) {
+    job.CallerGone = true;
+    return;
+  }
+  Pool.cancel(job.Call);
+  endRun(job);
+}
+
+void GateTask::sendEvidence() {
+  EvidenceTimer.start(EvidencePeriod);
+  if (!View || Evidence.empty())
+    return;
+  const std::uint64_t bucket = wallClockMs() / EvidenceBucketMs;
+  const ServiceView *service = View->serviceNamed(Admission.upstream().Service);
+  if (service != nullptr && service->Rollout.has_value()) {
+    EvidenceTick tick;
+    for (const auto &[index, counts] : Evidence)
+      tick.Reports.push_back(
+          {service->Rollout->ID, Settings.Host, Settings.Incarnation, index, counts});
+    Control.put(std::move(tick));
+  }
+  std::erase_if(Evidence, [bucket](const auto &it) { return it.first + 1 < bucket; });
+}
+
+void GateTask::tick() {
+  run(Admission.tick(wallClockMs()));
+  Ticker.start(TickPeriod);
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/gate_task.h
@@ -0,0 +1,94 @@
+/// @file gate_task.h The gate beside an upstream: admission, key claims, forwarding, evidence.
+#pragma once
+
+#include "gate_base.h"
+#include "http_server.h"
+#include "key_memory.h"
+#include "metrics.h"
+#include "task_messages.h"
+
+#include <map>
+#include <memory>
+
+namespace jasmineloom {
+
+/// What the traffic task's parts are set up with.
+struct TrafficSettings {
+  HostID Host;
+  std::uint64_t Incarnation = 0;
+  DataCentreName DataCentre;
+  std::string ListenAddress; ///< IP of all listeners.
+  std::uint16_t IngressPort = 0;
+  std::uint16_t GatePort = 0;
+  std::uint16_t ManagementPort = 0;
+  std::string StoreAddress; ///< IP:port.
+  std::string Secret;
+  std::size_t MaxBody = 0;
+  std::size_t MaxHeaderBytes = 0;
+  std::size_t MaxConnections = 0;
+  std::size_t MaxInFlight = 0;
+  std::uint64_t Seed = 0;
+};
+
+/// The gate's sockets and requests. All its decisions are in Gate, KeyMemory and planKeyClaim.
+class GateTask {
+public:
+  GateTask(event_base *base, const TrafficSettings &settings, HttpPool &pool, Metrics &metrics,
+           ControlMailbox &control);
+  ~GateTask();
+  GateTask(const GateTask &) = delete;
+  GateTask &operator=(const GateTask &) = delete;
+
+  /// @returns false if the port can't be bound.
+  bool listen();
+  void setView(RoutingViewPtr view);
+  /// Takes what the upstream announced.
+  /// @param address IP:port of the upstream.
+  void setUpstream(const LocalUpstream &upstream, const std::string &address, bool draining);
+  void beginDrain();
+  /// @returns requests that the gate has not answered.
+  std::size_t pending() const { return Server.pending(); }
+  const Gate &gate() const { return Admission; }
+
+private:
+  struct Job;
+
+  void take(HttpRequest request);
+  void takeClaim(const HttpRequest &request);
+  void takeCrash(const HttpRequest &request);
+  void gone(RequestID id);
+  void begin(Job &job);
+  void claimKey(Job &job);
+  void claimAnswered(RequestID id, const HttpResult &result);
+  void claimsEnded(Job &job);
+  void releaseKey(Job &job);
+  void forward(Job &job);
+  void forwarded(RequestID id, HttpResult result);
+  void noteCrash(const Job &job);
+  void noteEvidence(const Job &job, const HttpResult &result);
+  void endRun(Job &job);
+  void run(const GateRelease &released);
+  void refuse(Job &job, Outcome outcome, Refusal reason);
+  void sendEvidence();
+  void tick();
+  bool trusted(const HttpRequest &request) const;
+  std::string gateAddressOf(const HostID &host) const;
+  HttpCall peerCall(const std::string &path) const;
+
+  const TrafficSettings &Settings;
+  HttpPool &Pool;
+  Metrics &Figures;
+  ControlMailbox &Control;
+  HttpServer Server;
+  Gate Admission;
+  KeyMemory Keys;
+  RoutingViewPtr View;
+  std::string UpstreamAddress;
+  std::map<RequestID, std::unique_ptr<Job>> Jobs;
+  std::map<std::uint64_t, EvidenceCounts> Evidence; ///< By bucket.
+  TimeMs UpstreamSince = 0;
+  Timer Ticker;
+  Timer EvidenceTimer;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/host_table.cpp
@@ -0,0 +1,96 @@
+/// @file host_table.cpp All hosts that a node knows, merged from every link; reads by cursor.
+#include "host_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace jasmineloom {
+
+namespace {
+
+std::uint64_t digestOf(const HostRecord &record) {
+  if (record.State == HostState::Gone)
+    return 0;
+  const std::uint64_t seed = record.Incarnation * 31 + record.Sequence;
+  return XXH3_64bits_withSeed(record.Host.str().data(), record.Host.str().size(), seed);
+}
+
+} // namespace
+
+bool HostTable::merge(const HostRecord &record, const HostID &from, TimeMs now) {
+  Entry &entry = Entries[record.Host];
+  const bool isNew = entry.Position == 0;
+  const bool newer = isNew || replaces(record, entry.Record);
+  const std::uint64_t followed =
+      !isNew && record.Incarnation > entry.Record.Incarnation ? entry.Record.Incarnation : 0;
+  const std::uint64_t replaced = std::max({record.Replaced, entry.Record.Replaced, followed});
+  if (!newer && replaced == entry.Record.Replaced)
+    return false;
+  if (!isNew) {
+    ByPosition.erase(entry.Position);
+    Digest -= digestOf(entry.Record);
+  }
+  if (newer)
+    entry.Record = record;
+  entry.Record.Replaced = replaced;
+  entry.From = from;
+  entry.Position = ++Position;
+  entry.GoneAt = entry.Record.State == HostState::Gone ? now : 0;
+  ByPosition.emplace(entry.Position, record.Host);
+  Digest += digestOf(entry.Record);
+  return true;
+}
+
+void HostTable::expire(TimeMs now) {
+  for (auto it = Entries.begin(); it != Entries.end();) {
+    const Entry &entry = it->second;
+    if (entry.GoneAt == 0 || now < entry.GoneAt + GoneRetention) {
+      ++it;
+      continue;
+    }
+    ByPosition.erase(entry.Position);
+    it = Entries.erase(it);
+  }
+}
+
+const HostRecord *HostTable::find(const HostID &host) const {
+  const auto it = Entries.find(host);
+  return it == Entries.end() ? nullptr : &it->second.Record;
+}
+
+HostBatch HostTable::after(std::uint64_t cursor, const HostID &to, std::size_t limit) const {
+  HostBatch batch;
+  batch.Cursor = cursor;
+  for (auto it = ByPosition.upper_bound(cursor); it != ByPosition.end(); ++it) {
+    if (batch.Records.size() >= limit)
+      return batch;
+    batch.Cursor = it->first;
+    const Entry &entry = Entries.at(it->second);
+    if (entry.From == to)
+      continue;
+    batch.Records.push_back(entry.Record);
+  }
+  batch.Cursor = std::max(batch.Cursor, Position);
+  return batch;
+}
+
+bool HostTable::hasAfter(std::uint64_t cursor, const HostID &to) const {
+  for (auto it = ByPosition.upper_bound(cursor); it != ByPosition.end(); ++it) {
+    if (Entries.at(it->second).From != to)
+      return true;
+  }
+  return false;
+}
+
+std::vector<HostID> HostTable::members(const DataCentreName &dataCentre) const {
+  std::vector<HostID> found;
+  for (const auto &[host, entry] : Entries) {
+    if (entry.Record.State == HostState::Gone || entry.Record.DataCentre != dataCentre)
+      continue;
+    found.push_back(host);
+  }
+  return found;
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/http_pool.h
@@ -0,0 +1,95 @@
+/// @file http_pool.h Kept HTTP/1.1 connections to other processes, and calls over them.
+#pragma once
+
+#include "event_util.h"
+
+#include <event2/http.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jasmineloom {
+
+/// One header field.
+struct HeaderField {
+  std::string Name;
+  std::string Value;
+  bool operator==(const HeaderField &) const = default;
+};
+using HeaderFields = std::vector<HeaderField>;
+
+/// @returns the value of a field, compared without case, or null.
+const std::string *findHeader(const HeaderFields &fields, std::string_view name);
+
+/// A call to another process.
+struct HttpCall {
+  evhttp_cmd_type Method = EVHTTP_REQ_GET;
+  std::string Path;
+  HeaderFields Headers;
+  EvBufferPtr Body; ///< May be null.
+  DurationMs Timeout = 0;
+};
+
+/// How a call ended.
+struct HttpResult {
+  bool Complete = false;  ///< The whole answer came.
+  bool BytesSent = false; ///< Some of the request may have reached the peer.
+  bool TimedOut = false;
+  int Status = 0;
+  HeaderFields Headers;
+  EvBufferPtr Body;
+};
+
+using HttpCallback = std::function<void(HttpResult)>;
+
+/// Names a call under way.
+using HttpCallID = std::uint64_t;
+
+/// Connections of one task, by address. A connection whose answer was given up on is closed, so
+/// that a late answer can't be taken for another request's.
+class HttpPool {
+public:
+  HttpPool(event_base *base, std::size_t maxBody);
+  ~HttpPool();
+  HttpPool(const HttpPool &) = delete;
+  HttpPool &operator=(const HttpPool &) = delete;
+
+  /// Starts a call; the callback is called once, from the loop, never from within this function.
+  /// @param address IP:port.
+  HttpCallID call(const std::string &address, HttpCall call, HttpCallback callback);
+
+  /// Gives a call up: closes its connection; its callback is not called.
+  void cancel(HttpCallID id);
+
+  /// @returns the connections open to an address.
+  std::size_t connections(const std::string &address) const;
+
+private:
+  struct Connection;
+  struct Call;
+
+  Connection *takeConnection(const std::string &address);
+  void finish(Call &call, evhttp_request *request);
+  void fail(Call &call, bool timedOut);
+  void closeLater(Connection *connection);
+  void sweep();
+  static void onRequestDone(evhttp_request *request, void *arg);
+  static void onConnectionClosed(evhttp_connection *evcon, void *arg);
+  static void onTimeout(evutil_socket_t fd, short events, void *arg);
+  static void onBytesOut(evbuffer *buf, const evbuffer_cb_info *info, void *arg);
+
+  event_base *Base;
+  std::size_t MaxBody;
+  HttpCallID LastID = 0;
+  std::map<HttpCallID, std::unique_ptr<Call>> Calls;
+  std::map<Connection *, std::unique_ptr<Connection>> Connections;
+  std::map<std::string, std::vector<Connection *>> Idle;
+  std::map<std::string, std::size_t> Open;
+  std::vector<std::unique_ptr<Connection>> Closing;
+  Timer Sweeper;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/http_server.h
@@ -0,0 +1,97 @@
+/// @file http_server.h An evhtp listener that hands whole requests over and takes late replies.
+#pragma once
+
+#include "event_util.h"
+#include "http_pool.h"
+
+#include <evhtp.h>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace jasmineloom {
+
+/// Names a request of a listener.
+using RequestID = std::uint64_t;
+
+/// A whole request.
+struct HttpRequest {
+  RequestID ID = 0;
+  evhttp_cmd_type Method = EVHTTP_REQ_GET;
+  std::string MethodName;
+  std::string Path; ///< With the query.
+  HeaderFields Headers;
+  EvBufferPtr Body;
+};
+
+/// A whole reply.
+struct HttpReply {
+  int Status = 200;
+  HeaderFields Headers;
+  EvBufferPtr Body; ///< May be null.
+};
+
+/// Limits of a listener.
+struct HttpLimits {
+  std::size_t MaxBody = 0;
+  std::size_t MaxHeaderBytes = 0;
+  std::size_t MaxConnections = 0;
+  DurationMs ReadTimeout = 0; ///< Also closes idle connections.
+};
+
+/// Takes whole requests on one address. Each request gets its own reply or its connection is cut.
+class HttpServer {
+public:
+  using RequestHandler = std::function<void(HttpRequest)>;
+  /// Called when the caller of an unanswered request has gone.
+  using GoneHandler = std::function<void(RequestID)>;
+
+  HttpServer(event_base *base, const HttpLimits &limits, RequestHandler onRequest,
+             GoneHandler onGone);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  /// @returns false if the address can't be bound.
+  bool bind(const std::string &address, std::uint16_t port);
+  /// Stops accepting connections; those that are open go on.
+  void stopAccepting();
+  /// Answers a request; without effect if its caller has gone.
+  void reply(RequestID id, HttpReply reply);
+  /// Cuts the connection of a request.
+  void cut(RequestID id);
+
+  std::size_t pending() const { return Pending.size(); }
+
+private:
+  struct Waiting {
+    HttpServer *Server = nullptr;
+    RequestID ID = 0;
+    evhtp_request_t *Request = nullptr;
+  };
+
+  void take(evhtp_request_t *request);
+  void lookForGone();
+  static void onRequestTaken(evhtp_request_t *request, void *arg);
+  static evhtp_res onRequestDropped(evhtp_request_t *request, void *arg);
+  static evhtp_res onRequestEnd(evhtp_request_t *request, void *arg);
+  static evhtp_res onAccept(evhtp_connection_t *conn, void *arg);
+  static evhtp_res onConnectionEnd(evhtp_connection_t *conn, void *arg);
+  static evhtp_res onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *arg);
+
+  evhtp_t *Htp;
+  HttpLimits Limits;
+  RequestHandler OnRequest;
+  GoneHandler OnGone;
+  RequestID LastID = 0;
+  std::size_t Connections = 0;
+  bool Ending = false;
+  std::unordered_map<RequestID, std::unique_ptr<Waiting>> Pending;
+  /// Paths of requests whose body is still coming: the library replaces the query by a form's body.
+  std::unordered_map<const evhtp_request_t *, std::string> Paths;
+  Timer GoneTimer;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/jasminectl.cpp
@@ -0,0 +1,456 @@
+/// @file jasminectl.cpp The operators' command line.
+#include "declarations.h"
+#include "event_util.h"
+#include "log.h"
+#include "rpc_link.h"
+#include "settings.h"
+#include "timeline.h"
+#include "wire_func.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <capnp/compat/json.h>
+#include <unistd.h>
+
+#include <functional>
+#include <iostream>
+#include <random>
+
+namespace {
+
+using namespace jasmineloom;
+
+enum ExitCode : int {
+  ExitOk = 0,
+  ExitFailed = 1,
+  ExitUsage = 2,
+  ExitRefused = 3,
+  ExitConflict = 4,
+  ExitStoreUnavailable = 5,
+  ExitTimeout = 6,
+  ExitUnknown = 7,
+  ExitUnreachable = 8,
+};
+
+const std::vector<SettingRow> SettingTable = {
+    {"node", SettingType::Address, 1, 0, "127.0.0.1:8082", "",
+     "RPC addresses of nodes to try in turn, with commas"},
+    {"secret", SettingType::Text, 8, 256, "", "", "Secret of the cluster"},
+    {"output", SettingType::Choice, 0, 0, "table", "", "Form of the output", "table,json,svg"},
+    {"operation-id", SettingType::Text, 0, 128, "", "",
+     "Id of the change; give the same one to ask again after a lost answer"},
+    {"author", SettingType::Text, 0, 128, "operator", "", "Who makes the change"},
+    {"base-version", SettingType::Number, 0, 1L << 60, "0", "version",
+     "Version that the change was made against; 0: whatever is accepted"},
+    {"dry-run", SettingType::Choice, 0, 0, "no", "", "Shows what would change", "no,yes"},
+    {"wait", SettingType::Choice, 0, 0, "no", "", "Returns when it is in force everywhere or ended",
+     "no,yes"},
+    {"timeout", SettingType::Number, 1, 86400, "30", "s", "Longest wait"},
+    {"id", SettingType::Text, 0, 128, "", "", "Id of a rollout"},
+    {"to", SettingType::Text, 0, 128, "", "", "Version that a rollout moves to"},
+    {"within", SettingType::Number, 1, 864000, "600", "s", "Time until a rollout's deadline"},
+    {"filter", SettingType::Text, 0, 128, "", "",
+     "Version, rollout, route, host or kind in the time line"},
+    {"reason", SettingType::Text, 0, 256, "operator", "", "Why a rollout is aborted"},
+};
+
+constexpr const char *About =
+    "Operators' command line of jasmineloom\n"
+    "  jasminectl apply DIR          applies the declarations of a directory as one version\n"
+    "  jasminectl diff DIR           shows what apply would change\n"
+    "  jasminectl validate DIR       checks declarations without a mesh\n"
+    "  jasminectl get                prints the configuration that a node holds\n"
+    "  jasminectl history            lists the accepted changes\n"
+    "  jasminectl rollout start SERVICE --to VERSION --within S [--id ID]\n"
+    "  jasminectl rollout status|watch [ID] | rollout abort ID\n"
+    "  jasminectl status             lists the nodes, their versions and roles\n"
+    "  jasminectl in-force VERSION   asks whether a version is in force everywhere\n"
+    "  jasminectl timeline           merges the nodes' time lines\n"
+    "  jasminectl drain | log-level LEVEL   of the node that is called\n"
+    "Exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 store unavailable,\n"
+    "6 timeout, 7 outcome unknown (ask again with the same --operation-id), 8 no node answers";
+
+constexpr DurationMs PollPeriod = 100;
+
+int exitCodeOf(wire::Status status) {
+  switch (status) {
+  case wire::Status::OK:
+    return ExitOk;
+  case wire::Status::REFUSED:
+    return ExitRefused;
+  case wire::Status::CONFLICT:
+    return ExitConflict;
+  case wire::Status::STORE_UNAVAILABLE:
+    return ExitStoreUnavailable;
+  case wire::Status::TIMEOUT:
+    return ExitTimeout;
+  case wire::Status::UNKNOWN:
+    return ExitUnknown;
+  }
+  return ExitUnknown;
+}
+
+const char *nameOf(wire::RolloutPhase phase) {
+  switch (phase) {
+  case wire::RolloutPhase::RUNNING:
+    return "running";
+  case wire::RolloutPhase::DONE:
+    return "done";
+  case wire::RolloutPhase::TAKEN_BACK:
+    return "taken-back";
+  }
+  return "unknown";
+}
+
+template <typename ReaderT> void printJson(const ReaderT &reader) {
+  capnp::JsonCodec codec;
+  codec.setPrettyPrint(true);
+  std::cout << codec.encode(reader).cStr() << "\n";
+}
+
+/// One run of the command line against one node.
+class Command {
+public:
+  Command(Settings values, std::vector<std::string> arguments)
+      : Values(std::move(values)), Arguments(std::move(arguments)), Io(kj::setupAsyncIo()),
+        Peers(Io, Values.text("secret"), HostID("jasminectl"), Bytes) {}
+
+  int run() {
+    const std::string verb = argument(0);
+    if (verb == "validate")
+      return validate();
+    if (!connect()) {
+      std::cerr << "jasminectl: no node answers at " << Values.text("node") << ": " << Error
+                << "\n";
+      return ExitUnreachable;
+    }
+    if (verb == "apply")
+      return apply(Values.text("dry-run") == "yes");
+    if (verb == "diff")
+      return apply(true);
+    if (verb == "get")
+      return get();
+    if (verb == "history")
+      return history();
+    if (verb == "rollout")
+      return rollout();
+    if (verb == "status")
+      return status();
+    if (verb == "in-force")
+      return inForce();
+    if (verb == "timeline")
+      return timeline();
+    if (verb == "drain")
+      return simple(Node->Operator.drainRequest().send().wait(Io.waitScope).getOutcome());
+    if (verb == "log-level") {
+      auto request = Node->Operator.setLogLevelRequest();
+      request.setLevel(argument(1));
+      return simple(request.send().wait(Io.waitScope).getOutcome());
+    }
+    std::cerr << About << "\n";
+    return ExitUsage;
+  }
+
+private:
+  std::string argument(std::size_t n) const { return n < Arguments.size() ? Arguments[n] : ""; }
+  bool json() const { return Values.text("output") == "json"; }
+  bool waits() const { return Values.text("wait") == "yes"; }
+
+  bool connect() {
+    for (const std::string &address : Values.list("node")) {
+      const auto failed =
+          kj::runCatchingExceptions([&] { Node = Peers.get(address).wait(Io.waitScope); });
+      if (failed == nullptr)
+        return true;
+      KJ_IF_MAYBE (exception, failed)
+        Error = exception->getDescription().cStr();
+    }
+    return false;
+  }
+
+  static int simple(wire::Outcome::Reader outcome) {
+    std::cout << outcome.getMessage().cStr() << "\n";
+    return exitCodeOf(outcome.getStatus());
+  }
+
+  std::string operationId() const {
+    if (!Values.text("operation-id").empty())
+      return Values.text("operation-id");
+    std::random_device device;
+    return absl::StrFormat("%08x%08x", device(), device());
+  }
+
+  void pause() {
+    Io.provider->getTimer().afterDelay(PollPeriod * kj::MILLISECONDS).wait(Io.waitScope);
+  }
+
+  int validate() {
+    const auto objects = readDeclarationDirectory(argument(1));
+    const absl::Status status = objects.ok() ? validateDeclarations(*objects) : objects.status();
+    if (!status.ok()) {
+      std::cerr << "jasminectl: " << status.message() << "\n";
+      return ExitRefused;
+    }
+    std::cout << objects->size() << " objects are valid\n";
+    return ExitOk;
+  }
+
+  int apply(bool dryRun) {
+    const auto objects = readDeclarationDirectory(argument(1));
+    const absl::Status valid = objects.ok() ? validateDeclarations(*objects) : objects.status();
+    if (!valid.ok()) {
+      std::cerr << "jasminectl: " << valid.message() << "\n";
+      return ExitRefused;
+    }
+    auto request = Node->Operator.applyRequest();
+    writeDeclared(request.initDeclarations(), *objects);
+    const std::string id = operationId();
+    request.setOperationId(id);
+    request.setAuthor(Values.text("author"));
+    request.setBaseVersion(static_cast<std::uint64_t>(Values.number("base-version")));
+    request.setDryRun(dryRun);
+    const auto response = request.send().wait(Io.waitScope);
+    if (json()) {
+      printJson(response.getOutcome());
+    } else {
+      for (auto line : response.getChanges())
+        std::cout << "  " << line.cStr() << "\n";
+      std::cout << response.getOutcome().getMessage().cStr() << "\n";
+    }
+    const int code = exitCodeOf(response.getOutcome().getStatus());
+    if (code == ExitUnknown)
+      std::cerr << "jasminectl: ask again with --operation-id " << id << "\n";
+    if (code != ExitOk || !waits() || dryRun)
+      return code;
+    return waitInForce(response.getOutcome().getVersion());
+  }
+
+  int waitInForce(std::uint64_t version) {
+    const TimeMs end = wallClockMs() + static_cast<TimeMs>(Values.number("timeout")) * MsPerSecond;
+    const TimeMs begin = wallClockMs();
+    for (;;) {
+      auto request = Node->Operator.inForceRequest();
+      request.setVersion(version);
+      const auto response = request.send().wait(Io.waitScope);
+      if (response.getEverywhere()) {
+        std::cout << "version " << version << " is in force on all " << response.getNodes()
+                  << " nodes (" << wallClockMs() - begin << " ms after it was accepted)\n";
+        return ExitOk;
+      }
+      if (wallClockMs() >= end) {
+        std::cerr << "version " << version << " is not in force everywhere: " << response.getNodes()
+                  << " of " << response.getExpected() << " nodes reported; behind:";
+        for (auto host : response.getLaggards())
+          std::cerr << " " << host.cStr();
+        std::cerr << "\n";
+        return ExitTimeout;
+      }
+      if (isatty(STDERR_FILENO) != 0)
+        std::cerr << "\r" << response.getNodes() << "/" << response.getExpected() << " nodes ";
+      pause();
+    }
+  }
+
+  int inForce() {
+    std::uint64_t version = 0;
+    if (!absl::SimpleAtoi(argument(1), &version)) {
+      std::cerr << "jasminectl: in-force needs a version\n";
+      return ExitUsage;
+    }
+    return waitInForce(version);
+  }
+
+  int get() {
+    const auto response = Node->Operator.getRequest().send().wait(Io.waitScope);
+    if (json()) {
+      printJson(response.getDeclarations());
+      return ExitOk;
+    }
+    std::cout << "version " << response.getVersion() << "\n";
+    for (auto it : response.getDeclarations().getServices())
+      std::cout << "service  " << absl::StreamFormat("%-20s", it.getName().cStr()) << " "
+                << it.getInitialVersion().cStr() << "\n";
+    for (auto it : response.getDeclarations().getRoutes())
+      std::cout << "route    " << absl::StreamFormat("%-20s", it.getName().cStr()) << " "
+                << absl::StreamFormat("%-24s", it.getPrefix().cStr()) << " -> "
+                << it.getService().cStr() << (it.getIdempotent() ? "" : " (at most once)") << "\n";
+    return ExitOk;
+  }
+
+  int history() {
+    const auto response = Node->Operator.historyRequest().send().wait(Io.waitScope);
+    if (response.getOutcome().getStatus() != wire::Status::OK)
+      return simple(response.getOutcome());
+    for (auto it : response.getOperations())
+      std::cout << absl::StreamFormat("%-6d %-16s %-18s %s\n", it.getVersion(),
+                                      it.getAuthor().cStr(), it.getId().cStr(),
+                                      it.getSummary().cStr());
+    return ExitOk;
+  }
+
+  int rollout() {
+    const std::string what = argument(1);
+    if (what == "start")
+      return startRollout();
+    if (what == "abort") {
+      auto request = Node->Operator.abortRolloutRequest();
+      request.setId(argument(2));
+      request.setReason(Values.text("reason"));
+      return simple(request.send().wait(Io.waitScope).getOutcome());
+    }
+    if (what == "watch")
+      return watchRollout(argument(2));
+    if (what == "status") {
+      const auto response = Node->Operator.rolloutsRequest().send().wait(Io.waitScope);
+      for (auto it : response.getRollouts())
+        printRollout(it);
+      return ExitOk;
+    }
+    std::cerr << About << "\n";
+    return ExitUsage;
+  }
+
+  static void printRollout(wire::RolloutStatus::Reader it) {
+    const auto spec = it.getRollout();
+    std::cout << absl::StreamFormat(
+        "%-18s %-12s %s -> %s  %-10s stage %d  share %.1f%%  %s\n", spec.getId().cStr(),
+        spec.getService().cStr(), spec.getFromVersion().cStr(), spec.getToVersion().cStr(),
+        nameOf(it.getProgress().getPhase()), it.getProgress().getStage(),
+        it.getSharePerMille() / 10.0, it.getProgress().getReason().cStr());
+  }
+
+  int startRollout() {
+    auto request = Node->Operator.startRolloutRequest();
+    const TimeMs now = wallClockMs();
+    const std::string operation = operationId();
+    const std::string id = Values.text("id").empty() ? operation : Values.text("id");
+    auto spec = request.initRollout();
+    spec.setId(id);
+    spec.setService(argument(2));
+    spec.setToVersion(Values.text("to"));
+    spec.setStartMs(now);
+    spec.setDeadlineMs(now + static_cast<TimeMs>(Values.number("within")) * MsPerSecond);
+    request.setOperationId(operation);
+    request.setAuthor(Values.text("author"));
+    const auto response = request.send().wait(Io.waitScope);
+    std::cout << "rollout " << id << ": " << response.getOutcome().getMessage().cStr() << "\n";
+    const int code = exitCodeOf(response.getOutcome().getStatus());
+    return code == ExitOk && waits() ? watchRollout(id) : code;
+  }
+
+  int watchRollout(const std::string &id) {
+    const TimeMs end = wallClockMs() + static_cast<TimeMs>(Values.number("timeout")) * MsPerSecond;
+    std::uint32_t lastStage = ~0U;
+    for (;;) {
+      const auto response = Node->Operator.rolloutsRequest().send().wait(Io.waitScope);
+      for (auto it : response.getRollouts()) {
+        if (wireText(it.getRollout().getId()) != id)
+          continue;
+        const auto progress = it.getProgress();
+        if (progress.getPhase() != wire::RolloutPhase::RUNNING) {
+          std::cout << "rollout " << id << " is " << nameOf(progress.getPhase()) << ": "
+                    << progress.getReason().cStr() << "\n";
+          return progress.getPhase() == wire::RolloutPhase::DONE ? ExitOk : ExitRefused;
+        }
+        if (progress.getStage() != lastStage) {
+          lastStage = progress.getStage();
+          printRollout(it);
+        }
+      }
+      if (wallClockMs() >= end)
+        return ExitTimeout;
+      pause();
+    }
+  }
+
+  int status() {
+    const auto response = Node->Operator.statusRequest().send().wait(Io.waitScope);
+    if (json()) {
+      for (auto node : response.getNodes())
+        printJson(node);
+      return ExitOk;
+    }
+    std::cout << "HOST           DATA CENTRE  SERVICE      VERSION  STATE     HELD  KNOWN  ROLE   "
+                 "CHILDREN  PARENT         STORE  BYTES/S\n";
+    for (auto host : response.getHosts()) {
+      const HostRecord record = readRecord(host);
+      std::string rest = "does not answer";
+      for (auto node : response.getNodes()) {
+        if (wireText(node.getHost()) != record.Host.str())
+          continue;
+        const double seconds = std::max<double>(1, static_cast<double>(node.getUptimeMs()) / 1000);
+        const double bytes =
+            static_cast<double>(node.getControlBytesIn() + node.getControlBytesOut()) / seconds;
+        rest =
+            absl::StrFormat("%-5d %-6d %-6s %-9d %-14s %-6s %.0f", node.getHeldVersion(),
+                            node.getKnownVersion(), node.getRole().cStr(), node.getChildren(),
+                            node.getParent().cStr(), node.getStoreReachable() ? "up" : "-", bytes);
+      }
+      constexpr const char *StateNames[] = {"starting", "ready", "draining", "gone"};
+      std::cout << absl::StreamFormat("%-14s %-12s %-12s %-8s %-9s %s\n", record.Host.str(),
+                                      record.DataCentre.str(), record.Service.str(),
+                                      record.Version.str(),
+                                      StateNames[static_cast<std::size_t>(record.State)], rest);
+    }
+    return ExitOk;
+  }
+
+  int timeline() {
+    std::vector<TimelineEvent> events;
+    const auto status = Node->Operator.statusRequest().send().wait(Io.waitScope);
+    for (auto host : status.getHosts()) {
+      const auto failed = kj::runCatchingExceptions([&] {
+        const auto peer = Peers.get(wireText(host.getRpcAddress())).wait(Io.waitScope);
+        const std::uint64_t before = wallClockUs();
+        const auto response = peer->Operator.timelineRequest().send().wait(Io.waitScope);
+        // Takes the answer's clock for that of the middle of the call.
+        const std::uint64_t middle = before + (wallClockUs() - before) / 2;
+        for (auto it : response.getEvents()) {
+          TimelineEvent event = readEvent(it);
+          event.TimeUs += middle - response.getNowUs();
+          events.push_back(std::move(event));
+        }
+      });
+      KJ_IF_MAYBE (exception, failed)
+        std::cerr << host.getHost().cStr()
+                  << " does not answer: " << exception->getDescription().cStr() << "\n";
+    }
+    events = filterEvents(events, Values.text("filter"));
+    std::cout << (Values.text("output") == "svg" ? timelineSvg(std::move(events))
+                                                 : timelineText(std::move(events)));
+    return ExitOk;
+  }
+
+  Settings Values;
+  std::vector<std::string> Arguments;
+  kj::AsyncIoContext Io;
+  ControlBytes Bytes;
+  PeerCache Peers;
+  std::shared_ptr<PeerConnection> Node;
+  std::string Error;
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const absl::StatusOr<ParsedSettings> parsed =
+      parseSettings("jasminectl", About, SettingTable, argc, argv);
+  if (!parsed.ok()) {
+    std::cerr << "jasminectl: " << parsed.status().message() << "\n";
+    return ExitUsage;
+  }
+  if (!parsed->Message.empty()) {
+    std::cout << parsed->Message;
+    return ExitOk;
+  }
+  startLogging("text", "error");
+  int code = ExitFailed;
+  const auto failed =
+      kj::runCatchingExceptions([&] { code = Command(parsed->Values, parsed->Arguments).run(); });
+  KJ_IF_MAYBE (exception, failed) {
+    std::cerr << "jasminectl: " << exception->getDescription().cStr() << "\n";
+    return ExitFailed;
+  }
+  return code;
+}
--- /dev/null
+++ b/src/jasmined.cpp
@@ -0,0 +1,128 @@
+/// @file jasmined.cpp The one process beside each upstream host.
+#include "control_task.h"
+#include "event_util.h"
+#include "log.h"
+#include "settings.h"
+#include "traffic_task.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace jasmineloom;
+
+constexpr int ExitBadSettings = 2;
+
+const std::vector<SettingRow> SettingTable = {
+    {"host", SettingType::Text, 1, 128, "", "", "Name of this host, unique in the mesh"},
+    {"data-centre", SettingType::Text, 1, 64, "", "", "Name of the data centre of this host"},
+    {"address", SettingType::Text, 1, 64, "127.0.0.1", "", "IP that this host listens at"},
+    {"ingress-port", SettingType::Number, 1, 65535, "8080", "port", "Port for callers' requests"},
+    {"gate-port", SettingType::Number, 1, 65535, "8081", "port", "Port of the upstream's gate"},
+    {"rpc-port", SettingType::Number, 1, 65535, "8082", "port", "Port for nodes and operators"},
+    {"management-port", SettingType::Number, 1, 65535, "8083", "port",
+     "Port for metrics, health, announcements and drain; loopback or a guarded network only"},
+    {"store", SettingType::Address, 1, 0, "127.0.0.1:2379", "",
+     "IP:port of the key-value store (etcd v3 JSON gateway)"},
+    {"seeds", SettingType::Address, 0, 0, "", "", "RPC addresses of some hosts, with commas"},
+    {"secret", SettingType::Text, 8, 256, "", "", "Secret that all hosts and operators share"},
+    {"log-level", SettingType::Choice, 0, 0, "info", "", "Least level that is logged",
+     "trace,debug,info,warn,error"},
+    {"log-format", SettingType::Choice, 0, 0, "text", "", "Form of the log", "text,json"},
+    {"max-body", SettingType::Number, 1024, 64 << 20, "1048576", "bytes",
+     "Largest body of a request or an answer"},
+    {"max-headers", SettingType::Number, 512, 1 << 20, "16384", "bytes",
+     "Largest header of a request"},
+    {"max-connections", SettingType::Number, 1, 100000, "4096", "connections",
+     "Connections that each port takes"},
+    {"max-in-flight", SettingType::Number, 1, 100000, "2048", "requests",
+     "Callers' requests that this host has in flight"},
+};
+
+std::uint64_t seedFrom(const std::string &host, std::uint64_t incarnation) {
+  return std::hash<std::string>()(host) ^ incarnation;
+}
+
+TrafficSettings trafficSettings(const Settings &values, std::uint64_t incarnation) {
+  TrafficSettings traffic;
+  traffic.Host = HostID(values.text("host"));
+  traffic.Incarnation = incarnation;
+  traffic.DataCentre = DataCentreName(values.text("data-centre"));
+  traffic.ListenAddress = values.text("address");
+  traffic.IngressPort = static_cast<std::uint16_t>(values.number("ingress-port"));
+  traffic.GatePort = static_cast<std::uint16_t>(values.number("gate-port"));
+  traffic.ManagementPort = static_cast<std::uint16_t>(values.number("management-port"));
+  traffic.StoreAddress = values.text("store");
+  traffic.Secret = values.text("secret");
+  traffic.MaxBody = static_cast<std::size_t>(values.number("max-body"));
+  traffic.MaxHeaderBytes = static_cast<std::size_t>(values.number("max-headers"));
+  traffic.MaxConnections = static_cast<std::size_t>(values.number("max-connections"));
+  traffic.MaxInFlight = static_cast<std::size_t>(values.number("max-in-flight"));
+  traffic.Seed = seedFrom(values.text("host"), incarnation);
+  return traffic;
+}
+
+ControlSettings controlSettings(const Settings &values, std::uint64_t incarnation) {
+  const std::string &ip = values.text("address");
+  ControlSettings control;
+  control.RpcAddress = absl::StrCat(ip, ":", values.number("rpc-port"));
+  control.Identity = {HostID(values.text("host")), incarnation,
+                      DataCentreName(values.text("data-centre")), control.RpcAddress,
+                      absl::StrCat(ip, ":", values.number("gate-port"))};
+  control.Seeds = values.list("seeds");
+  control.Secret = values.text("secret");
+  control.Seed = seedFrom(values.text("host"), incarnation) + 1;
+  return control;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const absl::StatusOr<ParsedSettings> parsed =
+      parseSettings("jasmined", "Node of the jasmineloom mesh", SettingTable, argc, argv);
+  if (!parsed.ok()) {
+    std::cerr << "jasmined: " << parsed.status().message() << "\n";
+    return ExitBadSettings;
+  }
+  if (!parsed->Message.empty()) {
+    std::cout << parsed->Message;
+    return 0;
+  }
+  const Settings &values = parsed->Values;
+  startLogging(values.text("log-format"), values.text("log-level"));
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  const std::uint64_t incarnation = wallClockMs();
+  TrafficMailbox toTraffic;
+  ControlMailbox toControl;
+  TrafficTask traffic(trafficSettings(values, incarnation), toTraffic, toControl);
+  if (!traffic.listen()) {
+    std::cerr << "jasmined: " << traffic.error() << "\n";
+    return 1;
+  }
+  std::thread trafficThread([&traffic] { traffic.run(); });
+  std::thread signalThread([&signals, &toControl] {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    toControl.put(DrainRequested{"signal"});
+  });
+  int status = 0;
+  {
+    ControlTask control(controlSettings(values, incarnation), toTraffic, toControl);
+    status = control.run();
+  }
+  toTraffic.put(StopTask{});
+  trafficThread.join();
+  pthread_kill(signalThread.native_handle(), SIGTERM);
+  signalThread.join();
+  return status;
+}
--- /dev/null
+++ b/src/link_task.cpp
@@ -0,0 +1,79 @@
+/// @file link_task.cpp The open side of a link to another node: exchanges messages without end.
+#include "link_task.h"
+
+#include "event_util.h"
+#include "log.h"
+#include "wire_func.h"
+
+namespace jasmineloom {
+
+namespace {
+/// Time beyond the hold in which an answer must come.
+constexpr DurationMs AnswerTime = 2 * MsPerSecond;
+/// Shortest time between two exchanges.
+constexpr DurationMs ExchangePause = 5;
+} // namespace
+
+LinkTask::LinkTask(ControlTask &control, HostID peer, std::string address, bool joining)
+    : Control(control), Peer(std::move(peer)), Address(std::move(address)), Joining(joining),
+      Running(nullptr), News(kj::READY_NOW) {
+  Running = run().eagerlyEvaluate([this](kj::Exception &&exception) {
+    LOG4CXX_DEBUG(loggerOf("link"),
+                  "link to " << Peer.str() << " ended: " << exception.getDescription().cStr());
+    Control.linkFailed(Peer);
+  });
+}
+
+kj::Promise<void> LinkTask::run() {
+  return Control.peers().get(Address).then([this](std::shared_ptr<PeerConnection> connection) {
+    Connection = std::move(connection);
+    Control.note("link", Peer.str(), Joining ? "reports to parent" : "linked");
+    return exchangeLoop();
+  });
+}
+
+kj::Promise<void> LinkTask::exchangeLoop() {
+  return exchange(ExchangeHold)
+      .then([this] { return Control.timer().afterDelay(ExchangePause * kj::MILLISECONDS); })
+      .then([this] { return exchangeLoop(); });
+}
+
+kj::Promise<void> LinkTask::exchange(DurationMs hold) {
+  auto request = Connection->Peer.exchangeRequest();
+  writeExchange(request.initMessage(), Control.node().buildMessage(Peer, Joining, wallClockMs()));
+  request.setHoldMs(static_cast<std::uint32_t>(hold));
+  auto sent = request.send();
+  return Control.timer()
+      .timeoutAfter((hold + AnswerTime) * kj::MILLISECONDS,
+                    sent.then([](auto &&response) { return kj::mv(response); }))
+      .then([this](capnp::Response<wire::Peer::ExchangeResults> response) {
+        const ExchangeEffect effect =
+            Control.node().takeMessage(readExchange(response.getMessage()), wallClockMs());
+        Control.changed(effect);
+      });
+}
+
+kj::Promise<void> LinkTask::sendNews() {
+  const TimeMs now = wallClockMs();
+  const DurationMs wait = Control.node().onlyRecordsFor(Peer, Joining, now) ? RecordMergeTime : 0;
+  return Control.timer()
+      .afterDelay(wait * kj::MILLISECONDS)
+      .then([this] {
+        Poking = false;
+        return exchange(0);
+      })
+      .then([this] { poke(); });
+}
+
+void LinkTask::poke() {
+  if (!Connection || Poking || !Control.node().hasNewsFor(Peer, Joining, wallClockMs()))
+    return;
+  Poking = true;
+  News = sendNews().eagerlyEvaluate([this](kj::Exception &&exception) {
+    LOG4CXX_DEBUG(loggerOf("link"),
+                  "news for " << Peer.str() << " not sent: " << exception.getDescription().cStr());
+    Poking = false;
+  });
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/link_task.h
@@ -0,0 +1,40 @@
+/// @file link_task.h The open side of a link to another node: exchanges messages without end.
+#pragma once
+
+#include "control_task.h"
+
+namespace jasmineloom {
+
+/// Time for which the answering side holds an exchange that has no news; the heartbeat's period.
+constexpr DurationMs ExchangeHold = 3 * MsPerSecond;
+/// Time for which host records wait for others to be sent along.
+constexpr DurationMs RecordMergeTime = 50;
+
+/// One link, from connecting to its failure. Owned by the control task.
+class LinkTask {
+public:
+  /// @param joining whether this node reports to the peer as its child.
+  LinkTask(ControlTask &control, HostID peer, std::string address, bool joining);
+
+  /// Sends a message at once if there is news while an exchange is being held.
+  void poke();
+  bool joining() const { return Joining; }
+  const std::string &address() const { return Address; }
+
+private:
+  kj::Promise<void> run();
+  kj::Promise<void> exchangeLoop();
+  kj::Promise<void> exchange(DurationMs hold);
+  kj::Promise<void> sendNews();
+
+  ControlTask &Control;
+  HostID Peer;
+  std::string Address;
+  bool Joining;
+  bool Poking = false;
+  std::shared_ptr<PeerConnection> Connection;
+  kj::Promise<void> Running;
+  kj::Promise<void> News;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/log.cpp
@@ -0,0 +1,36 @@
+/// @file log.cpp Log output with a fixed prefix for each part of the program.
+#include "log.h"
+
+#include <absl/strings/str_cat.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/patternlayout.h>
+
+namespace jasmineloom {
+
+void startLogging(const std::string &format, const std::string &level) {
+  log4cxx::LayoutPtr layout;
+  if (format == "json")
+    layout = std::make_shared<log4cxx::JSONLayout>();
+  else
+    layout = std::make_shared<log4cxx::PatternLayout>("%d{HH:mm:ss.SSS} %-5p [%c] %m%n");
+  const auto appender =
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+  log4cxx::Logger::getRootLogger()->addAppender(appender);
+  setLogLevel(level).IgnoreError();
+}
+
+absl::Status setLogLevel(const std::string &level) {
+  for (const char *known : {"trace", "debug", "info", "warn", "error"}) {
+    if (level != known)
+      continue;
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level));
+    return absl::OkStatus();
+  }
+  return absl::InvalidArgumentError(
+      absl::StrCat("log level \"", level, "\" is not one of trace, debug, info, warn, error"));
+}
+
+log4cxx::LoggerPtr loggerOf(const char *part) { return log4cxx::Logger::getLogger(part); }
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/mesh_node.h
@@ -0,0 +1,174 @@
+/// @file mesh_node.h One node's part in distribution: what it holds, and what it tells each link.
+#pragma once
+
+#include "config_holder.h"
+#include "host_table.h"
+#include "rollout_type.h"
+#include "tree_func.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace jasmineloom {
+
+/// What a subtree holds, merged upward.
+struct SubtreeSummary {
+  std::uint32_t Nodes = 0;
+  ConfigVersion MinVersion = 0;
+  std::vector<HostID> Laggards; ///< Some of the hosts below the newest version.
+  auto operator<=>(const SubtreeSummary &) const = default;
+};
+
+/// What one node tells another over a link; the same message both ways.
+struct ExchangeMessage {
+  HostID Host;
+  std::uint64_t Incarnation = 0;
+  ConfigVersion HeldVersion = 0;
+  std::uint64_t HeldDigest = 0;
+  ConfigVersion KnownVersion = 0;
+  std::vector<HostRecord> Records;
+  std::uint64_t Cursor = 0;          ///< Position in the sender's table after Records.
+  std::uint64_t SeenCursor = 0;      ///< How far the sender has read the receiver's table.
+  std::uint64_t SeenIncarnation = 0; ///< Incarnation of the receiver that SeenCursor belongs to.
+  std::uint64_t TableDigest = 0;
+  std::vector<RolloutProgress> Progress;
+  SubtreeSummary Summary;
+  std::optional<ConfigDelta> Config;
+  bool WantFull = false; ///< The sender could not use a delta.
+  bool Joining = false;  ///< The sender reports as a child of the receiver.
+};
+
+/// What a message changed.
+struct ExchangeEffect {
+  bool ConfigApplied = false;
+  bool ConfigRefused = false;
+  bool TableChanged = false;
+  bool ProgressChanged = false;
+  bool operator==(const ExchangeEffect &) const = default;
+};
+
+/// State of one link.
+struct Link {
+  std::uint64_t PeerIncarnation = 0;
+  ConfigVersion PeerHeld = 0;
+  std::uint64_t PeerDigest = 0;
+  bool PeerKnown = false; ///< A message has come from this incarnation.
+  bool PeerWantsFull = false;
+  std::uint64_t PeerSeenCursor = 0; ///< How far the peer has read our table.
+  std::uint64_t SentCursor = 0;     ///< How far we have sent our table.
+  std::uint64_t OurSeenCursor = 0;  ///< How far we have read the peer's table.
+  ConfigVersion SentVersion = 0;
+  TimeMs SentConfigAt = 0;
+  std::uint64_t SentProgressEpoch = 0;
+  SubtreeSummary SentSummary;
+  SubtreeSummary PeerSummary;
+  bool Child = false; ///< The peer reports to us.
+  TimeMs LastHeard = 0;
+  std::uint64_t PeerSequence = 0; ///< Sequence of the peer's own record when last heard.
+  std::uint32_t DigestMismatches = 0;
+};
+
+/// Identity of a node.
+struct NodeIdentity {
+  HostID Host;
+  std::uint64_t Incarnation = 0;
+  DataCentreName DataCentre;
+  std::string RpcAddress;
+  std::string GateAddress;
+};
+
+/// Silence after which a parent takes a child for dead.
+constexpr DurationMs ChildSilence = 10 * MsPerSecond;
+/// Time after which a configuration that was sent but not acknowledged is sent again.
+constexpr DurationMs ConfigResend = 1 * MsPerSecond;
+/// Host records in one message.
+constexpr std::size_t MaxRecordsPerMessage = 2000;
+/// Hosts named as laggards.
+constexpr std::size_t MaxLaggards = 8;
+
+/// Distribution state of a node. No clock, socket or thread; messages in, messages out.
+class MeshNode {
+public:
+  MeshNode(NodeIdentity identity, TimeMs now);
+
+  /// Builds the next message for a peer and notes what was sent.
+  /// @param joining whether we report to the peer as its child.
+  ExchangeMessage buildMessage(const HostID &peer, bool joining, TimeMs now);
+
+  /// Takes a peer's message. Doubled, late and crossed messages do no harm.
+  ExchangeEffect takeMessage(const ExchangeMessage &message, TimeMs now);
+
+  /// @returns whether a message to the peer would carry something new.
+  bool hasNewsFor(const HostID &peer, bool joining, TimeMs now) const;
+
+  /// @returns whether the only news for the peer is host records, which may wait to be merged.
+  bool onlyRecordsFor(const HostID &peer, bool joining, TimeMs now) const;
+
+  /// Offers a configuration from the store or from an operator's call.
+  OfferResult offerConfig(const ConfigDelta &delta);
+
+  /// Merges a rollout's progress.
+  /// @returns whether it was news.
+  bool offerProgress(const RolloutProgress &progress);
+
+  /// Changes what this host says of itself.
+  void announce(HostState state, const ServiceName &service, const VersionLabel &version,
+                std::uint32_t slots, TimeMs now);
+
+  /// Raises the own record's sequence so that others see that the host lives.
+  void refresh(TimeMs now);
+
+  /// Marks a host as gone, found dead by this node.
+  /// @returns whether the table changed.
+  bool bury(const HostID &host, TimeMs now);
+
+  /// Drops silent children, buries them, expires old records.
+  /// @returns whether the table changed.
+  bool tick(TimeMs now);
+
+  /// Forgets a link that this node opened.
+  void dropLink(const HostID &peer);
+
+  /// @returns this node's place in its data centre's tree.
+  TreePlace place() const;
+
+  /// @returns what this node and the children below it hold.
+  SubtreeSummary summary() const;
+
+  /// @returns the highest version that \p host is known to have held, or that is held here.
+  ConfigVersion floorFor(const HostID &host) const;
+
+  /// @returns number of children.
+  std::uint32_t childCount() const;
+  /// @returns whether one more child may report here.
+  bool acceptsChild(const HostID &peer) const;
+
+  ConfigHolder &config() { return Config; }
+  const ConfigHolder &config() const { return Config; }
+  const HostTable &hosts() const { return Hosts; }
+  const NodeIdentity &identity() const { return Identity; }
+  const std::map<RolloutID, RolloutProgress> &progress() const { return Progress; }
+  const Link *link(const HostID &peer) const;
+  const HostRecord &self() const { return Self; }
+
+private:
+  bool configNewsFor(const Link &link, TimeMs now) const;
+  bool otherNewsFor(const Link &link, bool joining) const;
+  void takeConfig(const ExchangeMessage &message, Link &link, ExchangeEffect &effect);
+  bool takeRecords(const ExchangeMessage &message, TimeMs now);
+  void compareDigests(const ExchangeMessage &message, Link &link);
+  void refuteIfBuried(TimeMs now);
+
+  NodeIdentity Identity;
+  HostRecord Self;
+  ConfigHolder Config;
+  HostTable Hosts;
+  std::map<RolloutID, RolloutProgress> Progress;
+  std::uint64_t ProgressEpoch = 0;
+  std::map<HostID, Link> Links;
+  std::map<HostID, ConfigVersion> Acknowledged; ///< Highest version each reporting host has held.
+  bool WantFull = false;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,69 @@
+/// @file metrics.cpp Counters and latency quantiles of the traffic task, as Prometheus text.
+#include "metrics.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace jasmineloom {
+
+namespace acc = boost::accumulators;
+
+namespace {
+
+std::string view(std::string_view text) { return std::string(text); }
+
+void addGauge(std::string &out, const char *name, std::uint64_t value) {
+  absl::StrAppend(&out, "# TYPE jasmineloom_", name, " gauge\njasmineloom_", name, " ", value,
+                  "\n");
+}
+
+} // namespace
+
+void Metrics::noteRequest(const RouteName &route, Outcome outcome, Refusal reason,
+                          double latencyUs) {
+  ++Outcomes[{route.str(), outcome, reason}];
+  if (outcome != Outcome::Answered)
+    return;
+  auto it = Latencies.find(route.str());
+  if (it == Latencies.end())
+    it = Latencies
+             .emplace(route.str(),
+                      Latency(acc::tag::extended_p_square::probabilities = PublishedQuantiles))
+             .first;
+  it->second(latencyUs);
+}
+
+void Metrics::noteGate(Refusal refusal) { ++GateRefusals[refusal]; }
+
+std::string Metrics::text() const {
+  std::string out = "# TYPE jasmineloom_requests_total counter\n";
+  for (const auto &[key, n] : Outcomes)
+    absl::StrAppend(&out, "jasmineloom_requests_total{route=\"", key.Route, "\",outcome=\"",
+                    view(nameOf(key.Result)), "\",reason=\"", view(nameOf(key.Reason)), "\"} ", n,
+                    "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_request_latency_us summary\n");
+  for (const auto &[route, latency] : Latencies) {
+    for (std::size_t it = 0; it < PublishedQuantiles.size(); ++it)
+      absl::StrAppend(&out, "jasmineloom_request_latency_us{route=\"", route, "\",quantile=\"",
+                      PublishedQuantiles[it], "\"} ", acc::extended_p_square(latency)[it], "\n");
+    absl::StrAppend(&out, "jasmineloom_request_latency_us_sum{route=\"", route, "\"} ",
+                    acc::sum(latency), "\njasmineloom_request_latency_us_count{route=\"", route,
+                    "\"} ", acc::count(latency), "\n");
+  }
+  absl::StrAppend(&out, "# TYPE jasmineloom_gate_refusals_total counter\n");
+  for (const auto &[reason, n] : GateRefusals)
+    absl::StrAppend(&out, "jasmineloom_gate_refusals_total{reason=\"", view(nameOf(reason)), "\"} ",
+                    n, "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_retries_total counter\njasmineloom_retries_total ",
+                  Retries, "\n");
+  addGauge(out, "held_version", Control.HeldVersion);
+  addGauge(out, "known_version", Control.KnownVersion);
+  addGauge(out, "control_bytes_in", Control.BytesIn);
+  addGauge(out, "control_bytes_out", Control.BytesOut);
+  addGauge(out, "store_calls", Control.StoreCalls);
+  addGauge(out, "children", Control.Children);
+  addGauge(out, "root", Control.Root ? 1 : 0);
+  addGauge(out, "store_reachable", Control.StoreReachable ? 1 : 0);
+  return out;
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,53 @@
+/// @file metrics.h Counters and latency quantiles of the traffic task, as Prometheus text.
+#pragma once
+
+#include "task_messages.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <map>
+#include <string>
+
+namespace jasmineloom {
+
+/// Quantiles that are published for each route.
+constexpr std::array<double, 3> PublishedQuantiles = {0.5, 0.9, 0.99};
+
+/// Figures of one process. Owned by the traffic task.
+class Metrics {
+public:
+  /// Notes the end of a caller's request.
+  /// @param latencyUs from its arrival, microseconds.
+  void noteRequest(const RouteName &route, Outcome outcome, Refusal reason, double latencyUs);
+  void noteRetry() { ++Retries; }
+  void noteGate(Refusal refusal);
+  void setControl(const ControlFigures &figures) { Control = figures; }
+
+  /// @returns the Prometheus text format.
+  std::string text() const;
+
+private:
+  using Latency = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                 boost::accumulators::tag::extended_p_square>>;
+  struct OutcomeKey {
+    std::string Route;
+    Outcome Result;
+    Refusal Reason;
+    auto operator<=>(const OutcomeKey &) const = default;
+  };
+
+  std::map<OutcomeKey, std::uint64_t> Outcomes;
+  std::map<std::string, Latency> Latencies;
+  std::map<Refusal, std::uint64_t> GateRefusals;
+  std::uint64_t Retries = 0;
+  ControlFigures Control;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/operator_service.cpp
@@ -0,0 +1,331 @@
+/// @file operator_service.cpp What a node answers to operators. Any node takes the calls.
+#include "operator_service.h"
+
+#include "event_util.h"
+#include "log.h"
+#include "wire_func.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace jasmineloom {
+
+namespace {
+
+/// Nodes that are asked one by one for a status; a larger mesh is described by its roots.
+constexpr std::size_t MaxStatusNodes = 400;
+constexpr DurationMs FanOutTimeout = 3 * MsPerSecond;
+
+wire::Status wireStatus(ChangeStatus status) {
+  switch (status) {
+  case ChangeStatus::Accepted:
+    return wire::Status::OK;
+  case ChangeStatus::Refused:
+    return wire::Status::REFUSED;
+  case ChangeStatus::Conflict:
+    return wire::Status::CONFLICT;
+  case ChangeStatus::StoreUnavailable:
+    return wire::Status::STORE_UNAVAILABLE;
+  case ChangeStatus::Unknown:
+    return wire::Status::UNKNOWN;
+  }
+  return wire::Status::UNKNOWN;
+}
+
+void writeOutcome(wire::Outcome::Builder to, const ChangeOutcome &outcome) {
+  to.setStatus(wireStatus(outcome.Status));
+  to.setMessage(outcome.Message);
+  to.setVersion(outcome.Version);
+}
+
+/// Calls a function with a connection to each host; hosts that fail are left out.
+kj::Promise<void>
+fanOut(ControlTask &control, const std::vector<HostRecord> &hosts,
+       std::function<kj::Promise<void>(const HostRecord &, std::shared_ptr<PeerConnection>)> call) {
+  auto promises = kj::heapArrayBuilder<kj::Promise<void>>(hosts.size());
+  for (const HostRecord &host : hosts) {
+    auto asked = control.peers()
+                     .get(host.RpcAddress)
+                     .then([call, host](std::shared_ptr<PeerConnection> connection) {
+                       return call(host, connection).attach(kj::cp(connection));
+                     });
+    promises.add(control.timer()
+                     .timeoutAfter(FanOutTimeout * kj::MILLISECONDS, kj::mv(asked))
+                     .catch_([host](kj::Exception &&exception) {
+                       LOG4CXX_DEBUG(loggerOf("operator"),
+                                     host.Host.str() << " did not answer: "
+                                                     << exception.getDescription().cStr());
+                     }));
+  }
+  return kj::joinPromises(promises.finish());
+}
+
+std::vector<HostRecord> liveHosts(const HostTable &hosts) {
+  std::vector<HostRecord> found;
+  hosts.each([&found](const HostRecord &record, TimeMs) {
+    if (record.State != HostState::Gone)
+      found.push_back(record);
+  });
+  std::sort(found.begin(), found.end(),
+            [](const HostRecord &left, const HostRecord &right) { return left.Host < right.Host; });
+  return found;
+}
+
+/// @returns the first root of each data centre.
+std::vector<HostRecord> firstRoots(const HostTable &hosts) {
+  std::map<DataCentreName, std::vector<HostID>> members;
+  for (const HostRecord &record : liveHosts(hosts))
+    members[record.DataCentre].push_back(record.Host);
+  std::vector<HostRecord> roots;
+  for (const auto &[dataCentre, names] : members)
+    roots.push_back(*hosts.find(rootsOf(names).front()));
+  return roots;
+}
+
+/// What several nodes say together of a version.
+struct InForceSum {
+  std::uint32_t Nodes = 0;
+  ConfigVersion MinVersion = ~ConfigVersion{0};
+  std::set<HostID> Laggards;
+};
+
+/// Events gathered from several nodes.
+struct EventSum {
+  std::vector<TimelineEvent> Events;
+};
+
+} // namespace
+
+kj::Promise<void> OperatorService::apply(ApplyContext context) {
+  const auto params = context.getParams();
+  auto declared =
+      std::make_shared<std::vector<ConfigObject>>(readDeclarations(params.getDeclarations()));
+  ChangeRequest request;
+  request.Operation = OperationID(wireText(params.getOperationId()));
+  request.Author = wireText(params.getAuthor());
+  request.Summary = absl::StrCat("apply of ", declared->size(), " objects");
+  request.BaseVersion = params.getBaseVersion();
+  request.DryRun = params.getDryRun();
+  request.Change = [declared](const Snapshot &base) { return applyDeclarations(base, *declared); };
+  auto changes = std::make_shared<std::vector<std::string>>();
+  return Control.runChange(std::move(request), changes.get())
+      .then([context, changes](ChangeOutcome outcome) mutable {
+        auto results = context.getResults();
+        writeOutcome(results.initOutcome(), outcome);
+        auto list = results.initChanges(static_cast<unsigned>(changes->size()));
+        unsigned n = 0;
+        for (const std::string &line : *changes)
+          list.set(n++, line);
+      });
+}
+
+kj::Promise<void> OperatorService::startRollout(StartRolloutContext context) {
+  const auto params = context.getParams();
+  const RolloutSpec spec = readRollout(params.getRollout());
+  bool announced = false;
+  Control.node().hosts().each([&](const HostRecord &record, TimeMs) {
+    announced |= record.State == HostState::Ready && record.Service == spec.Service &&
+                 record.Version == spec.To;
+  });
+  if (!announced) {
+    ChangeOutcome outcome{ChangeStatus::Refused,
+                          absl::StrCat("no upstream of service \"", spec.Service.str(),
+                                       "\" has announced version \"", spec.To.str(), "\""),
+                          0, nullptr};
+    writeOutcome(context.getResults().initOutcome(), outcome);
+    return kj::READY_NOW;
+  }
+  ChangeRequest request;
+  request.Operation = OperationID(wireText(params.getOperationId()));
+  request.Author = wireText(params.getAuthor());
+  request.Summary =
+      absl::StrCat("rollout ", spec.ID.str(), " of ", spec.Service.str(), " to ", spec.To.str());
+  const TimeMs now = wallClockMs();
+  request.Change = [spec, now](const Snapshot &base) { return addRollout(base, spec, now); };
+  return Control.runChange(std::move(request), nullptr)
+      .then([context](ChangeOutcome outcome) mutable {
+        writeOutcome(context.getResults().initOutcome(), outcome);
+      });
+}
+
+kj::Promise<void> OperatorService::abortRollout(AbortRolloutContext context) {
+  const RolloutID id(wireText(context.getParams().getId()));
+  auto outcome = context.getResults().initOutcome();
+  const SnapshotPtr &held = Control.node().config().held();
+  if (!held || findRollout(*held, id) == nullptr) {
+    outcome.setStatus(wire::Status::REFUSED);
+    outcome.setMessage(absl::StrCat("rollout \"", id.str(), "\" does not run"));
+    return kj::READY_NOW;
+  }
+  RolloutProgress progress;
+  progress.ID = id;
+  progress.Phase = RolloutPhase::TakenBack;
+  progress.Reason = "aborted: " + wireText(context.getParams().getReason());
+  progress.Time = wallClockMs();
+  const bool news = Control.node().offerProgress(progress);
+  outcome.setStatus(wire::Status::OK);
+  outcome.setMessage(news ? "taken back" : "was taken back before");
+  if (news) {
+    Control.note("rollout", id.str(), "taken back: " + progress.Reason);
+    ExchangeEffect effect;
+    effect.ProgressChanged = true;
+    Control.changed(effect);
+  }
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> OperatorService::rollouts(RolloutsContext context) {
+  const SnapshotPtr held = Control.node().config().held();
+  const auto &progress = Control.node().progress();
+  std::vector<RolloutSpec> specs;
+  if (held) {
+    for (const RolloutSpec *spec : rolloutsOf(*held))
+      specs.push_back(*spec);
+  }
+  for (const auto &[id, it] : progress) {
+    const bool listed = std::any_of(specs.begin(), specs.end(),
+                                    [&id = id](const RolloutSpec &spec) { return spec.ID == id; });
+    if (listed)
+      continue;
+    RolloutSpec ended;
+    ended.ID = id;
+    specs.push_back(ended);
+  }
+  auto list = context.getResults().initRollouts(static_cast<unsigned>(specs.size()));
+  unsigned n = 0;
+  for (const RolloutSpec &spec : specs) {
+    auto to = list[n++];
+    writeRollout(to.initRollout(), spec);
+    RolloutProgress state;
+    const auto it = progress.find(spec.ID);
+    if (it != progress.end())
+      state = it->second;
+    writeProgress(to.initProgress(), state);
+    if (spec.Deadline > spec.Start)
+      to.setSharePerMille(shareOf(spec, state, wallClockMs()));
+  }
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> OperatorService::get(GetContext context) {
+  const SnapshotPtr held = Control.node().config().held();
+  if (!held)
+    return kj::READY_NOW;
+  context.getResults().setVersion(held->Version);
+  writeDeclarations(context.getResults().initDeclarations(), *held);
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> OperatorService::history(HistoryContext context) {
+  return Control.store().send(StoreRead{HeadKey}).then([context](StoreAnswer answer) mutable {
+    auto results = context.getResults();
+    auto outcome = results.initOutcome();
+    if (answer.Result != StoreResult::Ok) {
+      outcome.setStatus(wire::Status::STORE_UNAVAILABLE);
+      outcome.setMessage("the store does not answer");
+      return;
+    }
+    if (answer.Entries.empty())
+      return;
+    const absl::StatusOr<Head> head = decodeHead(answer.Entries.front().Value);
+    if (!head.ok()) {
+      outcome.setStatus(wire::Status::REFUSED);
+      outcome.setMessage("the head in the store can't be read");
+      return;
+    }
+    auto list = results.initOperations(static_cast<unsigned>(head->Operations.size()));
+    unsigned n = 0;
+    for (const OperationRecord &operation : head->Operations) {
+      list[n].setId(operation.ID.str());
+      list[n].setVersion(operation.Version);
+      list[n].setAuthor(operation.Author);
+      list[n].setSummary(operation.Summary);
+      list[n++].setTimeMs(operation.Time);
+    }
+  });
+}
+
+kj::Promise<void> OperatorService::inForce(InForceContext context) {
+  const ConfigVersion version = context.getParams().getVersion();
+  const auto expected = static_cast<std::uint32_t>(liveHosts(Control.node().hosts()).size());
+  auto sum = std::make_shared<InForceSum>();
+  const auto ask = [sum, version](const HostRecord &, std::shared_ptr<PeerConnection> connection) {
+    return connection->Operator.nodeStatusRequest().send().then([sum, version](auto &&response) {
+      const auto node = response.getNode();
+      const SubtreeSummary summary = readSummary(node.getSummary());
+      sum->Nodes += summary.Nodes;
+      sum->MinVersion = std::min(sum->MinVersion, summary.MinVersion);
+      sum->Laggards.insert(summary.Laggards.begin(), summary.Laggards.end());
+      if (node.getHeldVersion() < version)
+        sum->Laggards.insert(HostID(wireText(node.getHost())));
+    });
+  };
+  return fanOut(Control, firstRoots(Control.node().hosts()), ask)
+      .then([context, sum, expected, version]() mutable {
+        auto results = context.getResults();
+        results.setNodes(sum->Nodes);
+        results.setExpected(expected);
+        results.setEverywhere(sum->Nodes >= expected && sum->Nodes > 0 &&
+                              sum->MinVersion >= version);
+        auto list = results.initLaggards(static_cast<unsigned>(sum->Laggards.size()));
+        unsigned n = 0;
+        for (const HostID &host : sum->Laggards)
+          list.set(n++, host.str());
+      });
+}
+
+kj::Promise<void> OperatorService::status(StatusContext context) {
+  const std::vector<HostRecord> hosts = liveHosts(Control.node().hosts());
+  auto hostList = context.getResults().initHosts(static_cast<unsigned>(hosts.size()));
+  unsigned n = 0;
+  for (const HostRecord &host : hosts)
+    writeRecord(hostList[n++], host);
+  const std::vector<HostRecord> asked =
+      hosts.size() <= MaxStatusNodes ? hosts : firstRoots(Control.node().hosts());
+  using NodeResponse = capnp::Response<wire::Operator::NodeStatusResults>;
+  auto answers = std::make_shared<std::map<HostID, NodeResponse>>();
+  const auto ask = [answers](const HostRecord &host, std::shared_ptr<PeerConnection> connection) {
+    return connection->Operator.nodeStatusRequest().send().then(
+        [answers, id = host.Host](NodeResponse response) {
+          answers->emplace(id, kj::mv(response));
+        });
+  };
+  return fanOut(Control, asked, ask).then([context, answers]() mutable {
+    auto list = context.getResults().initNodes(static_cast<unsigned>(answers->size()));
+    unsigned n = 0;
+    for (auto &[id, response] : *answers)
+      list.setWithCaveats(n++, response.getNode());
+  });
+}
+
+kj::Promise<void> OperatorService::timeline(TimelineContext context) {
+  const auto &events = Control.timeline().events();
+  auto list = context.getResults().initEvents(static_cast<unsigned>(events.size()));
+  unsigned n = 0;
+  for (const TimelineEvent &event : events)
+    writeEvent(list[n++], event);
+  context.getResults().setNowUs(wallClockUs());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> OperatorService::nodeStatus(NodeStatusContext context) {
+  Control.describe(context.getResults().initNode());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> OperatorService::setLogLevel(SetLogLevelContext context) {
+  const absl::Status status = jasmineloom::setLogLevel(wireText(context.getParams().getLevel()));
+  auto outcome = context.getResults().initOutcome();
+  outcome.setStatus(status.ok() ? wire::Status::OK : wire::Status::REFUSED);
+  outcome.setMessage(std::string(status.message()));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> OperatorService::drain(DrainContext context) {
+  Control.drain("operator");
+  context.getResults().initOutcome().setMessage("draining");
+  return kj::READY_NOW;
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/peer_service.cpp
@@ -0,0 +1,64 @@
+/// @file peer_service.cpp What a node answers to other nodes.
+#include "peer_service.h"
+
+#include "event_util.h"
+#include "log.h"
+#include "operator_service.h"
+#include "secret.h"
+#include "wire_func.h"
+
+namespace jasmineloom {
+
+kj::Promise<void> DoorService::enter(EnterContext context) {
+  const auto params = context.getParams();
+  if (!sameSecret(wireText(params.getSecret()), Control.settings().Secret)) {
+    LOG4CXX_WARN(loggerOf("link"),
+                 "refused " << params.getHost().cStr() << ": its secret is not the cluster's");
+    KJ_FAIL_REQUIRE("refused: the secret is not the cluster's");
+  }
+  auto results = context.getResults();
+  results.setPeer(kj::heap<PeerService>(Control));
+  results.setOperator(kj::heap<OperatorService>(Control));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::exchange(ExchangeContext context) {
+  const ExchangeMessage message = readExchange(context.getParams().getMessage());
+  const DurationMs hold = context.getParams().getHoldMs();
+  const TimeMs now = wallClockMs();
+  if (message.Joining && !Control.node().acceptsChild(message.Host))
+    KJ_FAIL_REQUIRE("busy: this node has as many children as it takes");
+  const ExchangeEffect effect = Control.node().takeMessage(message, now);
+  Control.changed(effect);
+  const HostID peer = message.Host;
+  context.releaseParams();
+  return Control.whenNews(peer, hold).then([this, peer, context]() mutable {
+    writeExchange(context.getResults().initMessage(),
+                  Control.node().buildMessage(peer, false, wallClockMs()));
+  });
+}
+
+kj::Promise<void> PeerService::evidence(EvidenceContext context) {
+  for (auto report : context.getParams().getReports())
+    Control.takeEvidence(readEvidence(report));
+  const auto &progress = Control.node().progress();
+  auto list = context.getResults().initProgress(static_cast<unsigned>(progress.size()));
+  unsigned n = 0;
+  for (const auto &[id, it] : progress)
+    writeProgress(list[n++], it);
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::floor(FloorContext context) {
+  const HostID host(wireText(context.getParams().getHost()));
+  context.getResults().setVersion(Control.node().floorFor(host));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::ping(PingContext context) {
+  context.getResults().setHost(Control.node().identity().Host.str());
+  context.getResults().setIncarnation(Control.node().identity().Incarnation);
+  return kj::READY_NOW;
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/peer_service.h
@@ -0,0 +1,31 @@
+/// @file peer_service.h What a node answers to other nodes.
+#pragma once
+
+#include "control_task.h"
+
+namespace jasmineloom {
+
+/// The first object that a connection gets: hands out the others for the cluster's secret.
+class DoorService final : public wire::Door::Server {
+public:
+  explicit DoorService(ControlTask &control) : Control(control) {}
+  kj::Promise<void> enter(EnterContext context) override;
+
+private:
+  ControlTask &Control;
+};
+
+/// Calls between nodes.
+class PeerService final : public wire::Peer::Server {
+public:
+  explicit PeerService(ControlTask &control) : Control(control) {}
+  kj::Promise<void> exchange(ExchangeContext context) override;
+  kj::Promise<void> evidence(EvidenceContext context) override;
+  kj::Promise<void> floor(FloorContext context) override;
+  kj::Promise<void> ping(PingContext context) override;
+
+private:
+  ControlTask &Control;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,137 @@
+/// @file settings.cpp Settings of the programs: one table each, from flags and the environment.
+#include "settings.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/strings/str_split.h>
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+
+namespace jasmineloom {
+
+namespace {
+
+constexpr const char *ProgramVersion = "0.1.0";
+constexpr int MaxPort = 65535;
+
+std::string variableOf(const SettingRow &row) {
+  return "JASMINE_" + absl::AsciiStrToUpper(absl::StrReplaceAll(row.Name, {{"-", "_"}}));
+}
+
+absl::Status wrong(const SettingRow &row, const std::string &value, const std::string &expected) {
+  return absl::InvalidArgumentError(absl::StrCat("setting --", row.Name, " (", variableOf(row),
+                                                 "): \"", value, "\" is not ", expected));
+}
+
+absl::Status check(const SettingRow &row, const std::string &value) {
+  switch (row.Type) {
+  case SettingType::Text:
+    if (static_cast<long>(value.size()) < row.Min || static_cast<long>(value.size()) > row.Max)
+      return wrong(row, value, absl::StrCat("a text of ", row.Min, " to ", row.Max, " characters"));
+    return absl::OkStatus();
+  case SettingType::Number: {
+    std::int64_t number = 0;
+    if (!absl::SimpleAtoi(value, &number) || number < row.Min || number > row.Max)
+      return wrong(row, value,
+                   absl::StrCat("a number from ", row.Min, " to ", row.Max, " ", row.Unit));
+    return absl::OkStatus();
+  }
+  case SettingType::Address:
+    if (value.empty() && row.Min == 0)
+      return absl::OkStatus();
+    for (const absl::string_view it : absl::StrSplit(value, ',')) {
+      if (!splitAddress(std::string(it)).ok())
+        return wrong(row, value, "IP:port");
+    }
+    return absl::OkStatus();
+  case SettingType::Choice:
+    for (const absl::string_view it : absl::StrSplit(row.Choices, ',')) {
+      if (value == std::string(it))
+        return absl::OkStatus();
+    }
+    return wrong(row, value, absl::StrCat("one of ", row.Choices));
+  }
+  return absl::OkStatus();
+}
+
+std::string describe(const SettingRow &row) {
+  std::string text = absl::StrCat(row.Help, " [", variableOf(row));
+  if (row.Type == SettingType::Number)
+    absl::StrAppend(&text, ", ", row.Min, " to ", row.Max, " ", row.Unit);
+  if (row.Type == SettingType::Choice)
+    absl::StrAppend(&text, ", ", row.Choices);
+  return text + "]";
+}
+
+} // namespace
+
+absl::StatusOr<HostPort> splitAddress(const std::string &address) {
+  const std::size_t colon = address.rfind(':');
+  int port = 0;
+  if (colon == std::string::npos || colon == 0 ||
+      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port <= 0 || port > MaxPort)
+    return absl::InvalidArgumentError(absl::StrCat("\"", address, "\" is not IP:port"));
+  return HostPort{address.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+std::vector<std::string> Settings::list(const std::string &name) const {
+  const std::string &value = Values.at(name);
+  if (value.empty())
+    return {};
+  return absl::StrSplit(value, ',');
+}
+
+std::string Settings::print() const {
+  std::string out;
+  for (const auto &[name, value] : Values)
+    absl::StrAppend(&out, name, "=", name == "secret" ? "(hidden)" : value, "\n");
+  return out;
+}
+
+absl::StatusOr<ParsedSettings> parseSettings(const std::string &program, const std::string &about,
+                                             const std::vector<SettingRow> &table, int argc,
+                                             const char *const *argv) {
+  cxxopts::Options options(program, about);
+  for (const SettingRow &row : table)
+    options.add_options()(row.Name, describe(row),
+                          cxxopts::value<std::string>()->default_value(row.Default));
+  options.add_options()("help", "Prints this help")("version", "Prints the version")(
+      "print-settings", "Prints the checked settings and ends");
+  options.allow_unrecognised_options();
+  ParsedSettings parsed;
+  try {
+    const cxxopts::ParseResult result = options.parse(argc, argv);
+    for (const std::string &argument : result.unmatched()) {
+      if (argument.size() > 1 && argument.front() == '-')
+        return absl::InvalidArgumentError(absl::StrCat("there is no flag ", argument));
+      parsed.Arguments.push_back(argument);
+    }
+    if (result.count("help") != 0) {
+      parsed.Message = options.help();
+      return parsed;
+    }
+    if (result.count("version") != 0) {
+      parsed.Message = absl::StrCat(program, " ", ProgramVersion, "\n");
+      return parsed;
+    }
+    for (const SettingRow &row : table) {
+      std::string value = result[row.Name].as<std::string>();
+      const char *variable = std::getenv(variableOf(row).c_str());
+      if (result.count(row.Name) == 0 && variable != nullptr)
+        value = variable;
+      if (absl::Status status = check(row, value); !status.ok())
+        return status;
+      parsed.Values.set(row.Name, value);
+    }
+    if (result.count("print-settings") != 0)
+      parsed.Message = parsed.Values.print();
+  } catch (const std::exception &error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+  return parsed;
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/store_client.h
@@ -0,0 +1,42 @@
+/// @file store_client.h Sends requests to the store through the traffic task's HTTP connections.
+#pragma once
+
+#include "store_type.h"
+#include "task_messages.h"
+
+#include <kj/async.h>
+
+#include <map>
+
+namespace jasmineloom {
+
+/// The control task's side of the store. Counts every call.
+class StoreClient {
+public:
+  explicit StoreClient(TrafficMailbox &traffic) : Traffic(traffic) {}
+
+  kj::Promise<StoreAnswer> send(const StoreRequest &request);
+  /// Takes the reply to a call.
+  void take(const StoreReply &reply);
+  /// Opens the watch of a key; counts as a call.
+  void watch(const std::string &key);
+
+  std::uint64_t calls() const { return Calls; }
+  bool reachable() const { return Reachable; }
+
+private:
+  struct Waiting {
+    StoreRequest Request;
+    kj::Own<kj::PromiseFulfiller<StoreAnswer>> Fulfiller;
+  };
+
+  TrafficMailbox &Traffic;
+  std::map<std::uint64_t, Waiting> Open;
+  std::uint64_t Calls = 0;
+  bool Reachable = false;
+};
+
+/// Time in which the store must answer.
+constexpr DurationMs StoreTimeout = 2 * MsPerSecond;
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/store_codec.cpp
@@ -0,0 +1,149 @@
+/// @file store_codec.cpp Store requests in the published etcd v3 JSON gateway's form.
+#include "store_type.h"
+
+#include "etcd.capnp.h"
+
+#include <capnp/compat/json.h>
+#include <capnp/message.h>
+#include <kj/exception.h>
+
+namespace jasmineloom {
+
+namespace {
+
+capnp::Data::Reader bytes(const std::string &text) {
+  return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
+}
+
+std::string text(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
+template <typename T> const capnp::JsonCodec &codecFor() {
+  static const auto *codec = [] {
+    auto *made = new capnp::JsonCodec();
+    made->setHasMode(capnp::HasMode::NON_DEFAULT);
+    made->handleByAnnotation<T>();
+    return made;
+  }();
+  return *codec;
+}
+
+/// Fills a message and encodes it.
+template <typename T, typename FillT> std::string encode(FillT fill) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<T>();
+  fill(root);
+  const kj::String json = codecFor<T>().encode(root.asReader());
+  return {json.cStr(), json.size()};
+}
+
+/// @returns the first key after all keys with the prefix.
+std::string prefixEnd(std::string prefix) {
+  ++prefix.back();
+  return prefix;
+}
+
+struct Encoder {
+  GatewayCall operator()(const StoreRead &request) const {
+    return {"/v3/kv/range",
+            encode<etcd::RangeRequest>([&](auto &root) { root.setKey(bytes(request.Key)); })};
+  }
+  GatewayCall operator()(const StoreList &request) const {
+    return {"/v3/kv/range", encode<etcd::RangeRequest>([&](auto &root) {
+              root.setKey(bytes(request.Prefix));
+              root.setRangeEnd(bytes(prefixEnd(request.Prefix)));
+            })};
+  }
+  GatewayCall operator()(const StorePut &request) const {
+    return {"/v3/kv/put", encode<etcd::PutRequest>([&](auto &root) {
+              root.setKey(bytes(request.Key));
+              root.setValue(bytes(request.Value));
+              root.setLease(request.Lease);
+            })};
+  }
+  GatewayCall operator()(const StoreSwap &request) const {
+    return {"/v3/kv/txn", encode<etcd::TxnRequest>([&](auto &root) {
+              auto compare = root.initCompare(1)[0];
+              compare.setKey(bytes(request.Key));
+              compare.setTarget("MOD");
+              compare.setResult("EQUAL");
+              compare.setModRevision(request.ExpectedRevision);
+              auto ops = root.initSuccess(static_cast<unsigned>(request.Deletions.size() + 1));
+              auto put = ops[0].initRequestPut();
+              put.setKey(bytes(request.Key));
+              put.setValue(bytes(request.Value));
+              unsigned n = 1;
+              for (const std::string &key : request.Deletions)
+                ops[n++].initRequestDelete().setKey(bytes(key));
+            })};
+  }
+  GatewayCall operator()(const StoreGrantLease &request) const {
+    return {"/v3/lease/grant",
+            encode<etcd::LeaseGrantRequest>([&](auto &root) { root.setTtl(request.Seconds); })};
+  }
+  GatewayCall operator()(const StoreKeepAlive &request) const {
+    return {"/v3/lease/keepalive",
+            encode<etcd::LeaseKeepAliveRequest>([&](auto &root) { root.setId(request.Lease); })};
+  }
+};
+
+/// Decodes a reply of one kind of request.
+struct Decoder {
+  const std::string &Body;
+
+  template <typename T, typename ReadT> StoreAnswer decode(ReadT read) const {
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<T>();
+    codecFor<T>().decode(kj::arrayPtr(Body.data(), Body.size()), root);
+    StoreAnswer answer;
+    answer.Result = StoreResult::Ok;
+    read(root.asReader(), answer);
+    return answer;
+  }
+  StoreAnswer range() const {
+    return decode<etcd::RangeResponse>([](auto reader, StoreAnswer &answer) {
+      for (auto kv : reader.getKvs())
+        answer.Entries.push_back({text(kv.getKey()), text(kv.getValue()), kv.getModRevision()});
+    });
+  }
+  StoreAnswer operator()(const StoreRead &) const { return range(); }
+  StoreAnswer operator()(const StoreList &) const { return range(); }
+  StoreAnswer operator()(const StorePut &) const { return {StoreResult::Ok, {}, 0}; }
+  StoreAnswer operator()(const StoreSwap &) const {
+    return decode<etcd::TxnResponse>([](auto reader, StoreAnswer &answer) {
+      answer.Result = reader.getSucceeded() ? StoreResult::Ok : StoreResult::Conflict;
+    });
+  }
+  StoreAnswer operator()(const StoreGrantLease &) const {
+    return decode<etcd::LeaseGrantResponse>(
+        [](auto reader, StoreAnswer &answer) { answer.Lease = reader.getId(); });
+  }
+  StoreAnswer operator()(const StoreKeepAlive &) const {
+    return decode<etcd::LeaseKeepAliveResponse>([](auto reader, StoreAnswer &answer) {
+      answer.Lease = reader.getResult().getTtl() > 0 ? reader.getResult().getId() : 0;
+    });
+  }
+};
+
+} // namespace
+
+GatewayCall encodeStoreRequest(const StoreRequest &request) {
+  return std::visit(Encoder{}, request);
+}
+
+StoreAnswer decodeStoreReply(const StoreRequest &request, const std::string &body) {
+  StoreAnswer answer;
+  const auto failed =
+      kj::runCatchingExceptions([&] { answer = std::visit(Decoder{body}, request); });
+  if (failed != nullptr)
+    answer = {StoreResult::Unknown, {}, 0};
+  return answer;
+}
+
+std::string encodeWatch(const std::string &key) {
+  return encode<etcd::WatchRequest>(
+      [&](auto &root) { root.initCreateRequest().setKey(bytes(key)); });
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/traffic_task.h
@@ -0,0 +1,73 @@
+/// @file traffic_task.h The thread of all HTTP: ingress, gate, management port, calls to the store.
+#pragma once
+
+#include "gate_task.h"
+#include "ingress_task.h"
+
+#include <event2/http.h>
+
+#include <atomic>
+#include <memory>
+
+namespace jasmineloom {
+
+/// Owns a libevent loop and all HTTP sockets of the process.
+class TrafficTask {
+public:
+  TrafficTask(TrafficSettings settings, TrafficMailbox &inbox, ControlMailbox &control);
+  ~TrafficTask();
+  TrafficTask(const TrafficTask &) = delete;
+  TrafficTask &operator=(const TrafficTask &) = delete;
+
+  /// @returns false if a port can't be bound; error() names it.
+  bool listen();
+  const std::string &error() const { return Error; }
+  /// Runs until a StopTask message.
+  void run();
+
+private:
+  struct HttpDeleter {
+    void operator()(evhttp *http) const { evhttp_free(http); }
+  };
+
+  void handleAll();
+  void handle(PublishView &message);
+  void handle(StoreCall &message);
+  void handle(StoreWatchStart &message);
+  void handle(BeginDrain &message);
+  void handle(ControlFigures &message);
+  void handle(StopTask &message);
+  void manage(evhttp_request *request);
+  void announce(evhttp_request *request);
+  void replyText(evhttp_request *request, int status, const std::string &text);
+  void checkDrained();
+  void checkLease();
+  static void onManagement(evhttp_request *request, void *arg);
+  static void onWatchChunk(evhttp_request *request, void *arg);
+  static void onWatchEnd(evhttp_request *request, void *arg);
+
+  TrafficSettings Settings;
+  TrafficMailbox &Inbox;
+  ControlMailbox &Control;
+  EventBasePtr Base;
+  EventPtr WakeEvent;
+  Metrics Figures;
+  HttpPool Pool;
+  HttpPool StorePool;
+  std::unique_ptr<GateTask> Gates;
+  std::unique_ptr<IngressTask> Ingress;
+  std::unique_ptr<evhttp, HttpDeleter> Management;
+  evhttp_connection *Watch = nullptr;
+  bool WatchOpen = false;
+  bool Ready = false;
+  bool Draining = false;
+  TimeMs DrainUntil = 0;
+  UpstreamAnnounced Announced;
+  std::string UpstreamAddress;
+  TimeMs LeaseUntil = 0;
+  Timer DrainTimer;
+  Timer LeaseTimer;
+  std::string Error;
+};
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/traffic_type.cpp
@@ -0,0 +1,52 @@
+/// @file traffic_type.cpp Names of outcomes and refusals.
+#include "traffic_type.h"
+
+namespace jasmineloom {
+
+std::string_view nameOf(Outcome outcome) {
+  switch (outcome) {
+  case Outcome::Answered:
+    return "answered";
+  case Outcome::NotRun:
+    return "not-run";
+  case Outcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view nameOf(Refusal refusal) {
+  switch (refusal) {
+  case Refusal::None:
+    return "none";
+  case Refusal::NoRoute:
+    return "no-route";
+  case Refusal::NoConfig:
+    return "no-config";
+  case Refusal::NoUpstream:
+    return "no-upstream";
+  case Refusal::Draining:
+    return "draining";
+  case Refusal::Overloaded:
+    return "overloaded";
+  case Refusal::WrongUpstream:
+    return "wrong-upstream";
+  case Refusal::TakenBack:
+    return "taken-back";
+  case Refusal::Quarantined:
+    return "quarantined";
+  case Refusal::KeyInUse:
+    return "key-in-use";
+  case Refusal::KeyUnproved:
+    return "key-unproved";
+  case Refusal::KeyTableFull:
+    return "key-table-full";
+  case Refusal::Deadline:
+    return "deadline";
+  case Refusal::Transport:
+    return "transport";
+  }
+  return "none";
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/traffic_type.h
@@ -0,0 +1,54 @@
+/// @file traffic_type.h Outcomes and refusals of requests, and the headers that carry them.
+#pragma once
+
+#include "ids_type.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace jasmineloom {
+
+/// What a caller learns of its request.
+enum class Outcome : std::uint8_t {
+  Answered, ///< The upstream's whole answer.
+  NotRun,   ///< Proved: no upstream began to run the request.
+  Unknown,  ///< It was handed to an upstream and no whole answer came back.
+};
+
+/// Why a node refused a request.
+enum class Refusal : std::uint8_t {
+  None,
+  NoRoute,
+  NoConfig,
+  NoUpstream,
+  Draining,
+  Overloaded,
+  WrongUpstream, ///< The host serves another service or version by now.
+  TakenBack,     ///< The upstream's version was taken back.
+  Quarantined,   ///< The request has crashed upstreams.
+  KeyInUse,      ///< The idempotency key has been used; its outcome is not this request's.
+  KeyUnproved,   ///< It can't be proved that the key is new.
+  KeyTableFull,
+  Deadline,
+  Transport, ///< No connection to the next process.
+};
+
+/// @returns a short name for logs, metrics and answers.
+std::string_view nameOf(Outcome outcome);
+std::string_view nameOf(Refusal refusal);
+
+namespace header {
+constexpr const char *Prefix = "x-jasmine-";
+constexpr const char *Outcome = "x-jasmine-outcome";
+constexpr const char *Reason = "x-jasmine-reason";
+constexpr const char *Service = "x-jasmine-service";
+constexpr const char *Version = "x-jasmine-version";
+constexpr const char *Route = "x-jasmine-route";
+constexpr const char *Worth = "x-jasmine-worth";
+constexpr const char *Once = "x-jasmine-once"; ///< Present on requests that run at most once.
+constexpr const char *Key = "idempotency-key";
+constexpr const char *DeadlineMs = "x-jasmine-deadline-ms";
+constexpr const char *Host = "x-jasmine-host";
+} // namespace header
+
+} // namespace jasmineloom
--- /dev/null
+++ b/src/wire_func.cpp
@@ -0,0 +1,180 @@
+/// @file wire_func.cpp Messages between nodes in their wire form.
+#include "wire_func.h"
+
+#include "config_func.h"
+
+namespace jasmineloom {
+
+namespace {
+unsigned sizeOf(std::size_t n) { return static_cast<unsigned>(n); }
+} // namespace
+
+void writeRecord(wire::HostRecord::Builder to, const HostRecord &record) {
+  to.setHost(record.Host.str());
+  to.setIncarnation(record.Incarnation);
+  to.setSequence(record.Sequence);
+  to.setState(static_cast<wire::HostState>(record.State));
+  to.setDataCentre(record.DataCentre.str());
+  to.setRpcAddress(record.RpcAddress);
+  to.setGateAddress(record.GateAddress);
+  to.setService(record.Service.str());
+  to.setVersion(record.Version.str());
+  to.setSlots(record.Slots);
+  to.setReplaced(record.Replaced);
+}
+
+HostRecord readRecord(wire::HostRecord::Reader from) {
+  HostRecord record;
+  record.Host = HostID(wireText(from.getHost()));
+  record.Incarnation = from.getIncarnation();
+  record.Sequence = from.getSequence();
+  record.State = static_cast<HostState>(from.getState());
+  record.DataCentre = DataCentreName(wireText(from.getDataCentre()));
+  record.RpcAddress = wireText(from.getRpcAddress());
+  record.GateAddress = wireText(from.getGateAddress());
+  record.Service = ServiceName(wireText(from.getService()));
+  record.Version = VersionLabel(wireText(from.getVersion()));
+  record.Slots = from.getSlots();
+  record.Replaced = from.getReplaced();
+  return record;
+}
+
+void writeProgress(wire::RolloutProgress::Builder to, const RolloutProgress &progress) {
+  to.setId(progress.ID.str());
+  to.setPhase(static_cast<wire::RolloutPhase>(progress.Phase));
+  to.setStage(progress.Stage);
+  to.setReason(progress.Reason);
+  to.setTimeMs(progress.Time);
+}
+
+RolloutProgress readProgress(wire::RolloutProgress::Reader from) {
+  return {RolloutID(wireText(from.getId())), static_cast<RolloutPhase>(from.getPhase()),
+          from.getStage(), wireText(from.getReason()), from.getTimeMs()};
+}
+
+void writeEvidence(wire::EvidenceReport::Builder to, const EvidenceReport &report) {
+  to.setRollout(report.Rollout.str());
+  to.setHost(report.Host.str());
+  to.setIncarnation(report.Incarnation);
+  to.setBucket(report.Bucket);
+  auto list = to.initCounts(sizeOf(report.Counts.size()));
+  unsigned n = 0;
+  for (const auto &[key, counts] : report.Counts) {
+    auto it = list[n++];
+    it.setRoute(key.Route.str());
+    it.setVersion(key.Version.str());
+    it.setRequests(counts.Requests);
+    it.setFailures(counts.Failures);
+    auto latency = it.initLatency(LatencyBuckets);
+    for (unsigned bucket = 0; bucket < LatencyBuckets; ++bucket)
+      latency.set(bucket, counts.Latency[bucket]);
+  }
+}
+
+EvidenceReport readEvidence(wire::EvidenceReport::Reader from) {
+  EvidenceReport report;
+  report.Rollout = RolloutID(wireText(from.getRollout()));
+  report.Host = HostID(wireText(from.getHost()));
+  report.Incarnation = from.getIncarnation();
+  report.Bucket = from.getBucket();
+  for (auto it : from.getCounts()) {
+    VersionCounts &counts =
+        report
+            .Counts[{RouteName(wireText(it.getRoute())), VersionLabel(wireText(it.getVersion()))}];
+    counts.Requests = it.getRequests();
+    counts.Failures = it.getFailures();
+    unsigned bucket = 0;
+    for (const std::uint32_t n : it.getLatency()) {
+      if (bucket < LatencyBuckets)
+        counts.Latency[bucket++] = n;
+    }
+  }
+  return report;
+}
+
+void writeSummary(wire::SubtreeSummary::Builder to, const SubtreeSummary &summary) {
+  to.setNodes(summary.Nodes);
+  to.setMinVersion(summary.MinVersion);
+  auto laggards = to.initLaggards(sizeOf(summary.Laggards.size()));
+  unsigned n = 0;
+  for (const HostID &host : summary.Laggards)
+    laggards.set(n++, host.str());
+}
+
+SubtreeSummary readSummary(wire::SubtreeSummary::Reader from) {
+  SubtreeSummary summary;
+  summary.Nodes = from.getNodes();
+  summary.MinVersion = from.getMinVersion();
+  for (auto host : from.getLaggards())
+    summary.Laggards.emplace_back(wireText(host));
+  return summary;
+}
+
+void writeEvent(wire::TimelineEvent::Builder to, const TimelineEvent &event) {
+  to.setTimeUs(event.TimeUs);
+  to.setHost(event.Host.str());
+  to.setKind(event.Kind);
+  to.setSubject(event.Subject);
+  to.setVersion(event.Version);
+  to.setText(event.Text);
+}
+
+TimelineEvent readEvent(wire::TimelineEvent::Reader from) {
+  return {from.getTimeUs(),         HostID(wireText(from.getHost())),
+          wireText(from.getKind()), wireText(from.getSubject()),
+          from.getVersion(),        wireText(from.getText())};
+}
+
+void writeExchange(wire::Exchange::Builder to, const ExchangeMessage &message) {
+  to.setHost(message.Host.str());
+  to.setIncarnation(message.Incarnation);
+  to.setHeldVersion(message.HeldVersion);
+  to.setHeldDigest(message.HeldDigest);
+  to.setKnownVersion(message.KnownVersion);
+  to.setCursor(message.Cursor);
+  to.setSeenCursor(message.SeenCursor);
+  to.setSeenIncarnation(message.SeenIncarnation);
+  to.setTableDigest(message.TableDigest);
+  to.setWantFull(message.WantFull);
+  to.setJoining(message.Joining);
+  unsigned n = 0;
+  if (!message.Records.empty()) {
+    auto records = to.initRecords(sizeOf(message.Records.size()));
+    for (const HostRecord &record : message.Records)
+      writeRecord(records[n++], record);
+  }
+  if (!message.Progress.empty()) {
+    n = 0;
+    auto progress = to.initProgress(sizeOf(message.Progress.size()));
+    for (const RolloutProgress &it : message.Progress)
+      writeProgress(progress[n++], it);
+  }
+  writeSummary(to.initSummary(), message.Summary);
+  if (message.Config.has_value())
+    writeDelta(to.initConfig(), *message.Config);
+}
+
+ExchangeMessage readExchange(wire::Exchange::Reader from) {
+  ExchangeMessage message;
+  message.Host = HostID(wireText(from.getHost()));
+  message.Incarnation = from.getIncarnation();
+  message.HeldVersion = from.getHeldVersion();
+  message.HeldDigest = from.getHeldDigest();
+  message.KnownVersion = from.getKnownVersion();
+  message.Cursor = from.getCursor();
+  message.SeenCursor = from.getSeenCursor();
+  message.SeenIncarnation = from.getSeenIncarnation();
+  message.TableDigest = from.getTableDigest();
+  message.WantFull = from.getWantFull();
+  message.Joining = from.getJoining();
+  for (auto record : from.getRecords())
+    message.Records.push_back(readRecord(record));
+  for (auto progress : from.getProgress())
+    message.Progress.push_back(readProgress(progress));
+  message.Summary = readSummary(from.getSummary());
+  if (from.hasConfig())
+    message.Config = readDelta(from.getConfig());
+  return message;
+}
+
+} // namespace jasmineloom
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,131 @@
+/// @file config_test.cpp Configuration values: validation, deltas, the holder's rules.
+#define BOOST_TEST_MODULE config
+#include <boost/test/unit_test.hpp>
+
+#include "config_holder.h"
+#include "declarations.h"
+
+#include "test_config.h"
+
+#include <rapidcheck.h>
+
+using namespace jasmineloom;
+using namespace jasmineloom::testing;
+
+namespace {
+
+struct InvalidCase {
+  const char *Name;
+  std::vector<ConfigObject> Objects;
+  const char *Reason;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(invalid_configurations_are_refused_with_the_reason) {
+  const ServiceSpec lookups = service("lookups");
+  const std::vector<InvalidCase> cases = {
+      {"route to nowhere", {route("r", "/r", "lookups")}, "does not exist"},
+      {"prefix without slash", {lookups, route("r", "r", "lookups")}, "must start"},
+      {"prefix with slash at its end", {lookups, route("r", "/r/", "lookups")}, "must not end"},
+      {"prefix twice",
+       {lookups, route("a", "/r", "lookups"), route("b", "/r", "lookups")},
+       "another route"},
+      {"empty version", {ServiceSpec{ServiceName("lookups"), VersionLabel()}}, "version is empty"},
+      {"name with a space", {service("look ups")}, "letters"},
+      {"rollout of a missing service", {rollout("x", "lookups", "v1", "v2")}, "does not exist"},
+      {"rollout to the same version",
+       {lookups, rollout("x", "lookups", "v1", "v1")},
+       "must differ"},
+      {"rollout from another version",
+       {lookups, rollout("x", "lookups", "v0", "v2")},
+       "is not the version"},
+      {"two rollouts of a service",
+       {lookups, rollout("x", "lookups", "v1", "v2"), rollout("y", "lookups", "v1", "v3")},
+       "another rollout"},
+  };
+  for (const InvalidCase &it : cases) {
+    const absl::Status status = validateSnapshot(*snapshotOf(1, it.Objects));
+    BOOST_TEST_CONTEXT(it.Name) {
+      BOOST_TEST(!status.ok());
+      BOOST_TEST(status.message().find(it.Reason) != std::string::npos, status.message());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_delta_leads_from_any_snapshot_to_any_later_one) {
+  BOOST_TEST(rc::check([](std::uint32_t before, std::uint32_t after) {
+    const SnapshotPtr base = seededSnapshot(1, before % 64);
+    const SnapshotPtr next = seededSnapshot(2, after % 64);
+    const auto applied = applyDelta(base.get(), diffSnapshots(base.get(), *next));
+    RC_ASSERT(applied.ok());
+    RC_ASSERT((*applied)->Digest == next->Digest);
+    RC_ASSERT((*applied)->Objects.size() == next->Objects.size());
+    const auto full = applyDelta(nullptr, diffSnapshots(nullptr, *next));
+    RC_ASSERT(full.ok());
+    RC_ASSERT((*full)->Digest == next->Digest);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_never_goes_back_and_never_applies_in_part) {
+  BOOST_TEST(rc::check([](std::vector<std::uint8_t> order) {
+    std::vector<SnapshotPtr> versions;
+    for (std::uint32_t it = 0; it < 8; ++it)
+      versions.push_back(seededSnapshot(it + 1, it * 7 + 3));
+    ConfigHolder holder;
+    ConfigVersion highest = 0;
+    for (const std::uint8_t draw : order) {
+      const SnapshotPtr &next = versions[draw % versions.size()];
+      const bool full = (draw & 64) != 0;
+      const SnapshotPtr &base = versions[(draw / 8) % versions.size()];
+      const ConfigDelta delta = diffSnapshots(full ? nullptr : base.get(), *next);
+      holder.offer(delta);
+      RC_ASSERT(holder.heldVersion() >= highest);
+      highest = holder.heldVersion();
+      if (highest > 0)
+        RC_ASSERT(holder.heldDigest() == versions[highest - 1]->Digest);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_refuses_what_is_below_its_floor) {
+  ConfigHolder holder;
+  holder.raiseFloor(3);
+  BOOST_TEST(
+      (holder.offer(diffSnapshots(nullptr, *seededSnapshot(2, 5))) == OfferResult::BelowFloor));
+  BOOST_TEST(holder.heldVersion() == 0U);
+  BOOST_TEST((holder.offer(diffSnapshots(nullptr, *seededSnapshot(3, 5))) == OfferResult::Applied));
+}
+
+BOOST_AUTO_TEST_CASE(a_changed_delta_is_refused_whole) {
+  const SnapshotPtr base = seededSnapshot(1, 9);
+  const SnapshotPtr next = seededSnapshot(2, 21);
+  ConfigHolder holder;
+  holder.offer(diffSnapshots(nullptr, *base));
+  ConfigDelta delta = diffSnapshots(base.get(), *next);
+  delta.Upserts.pop_back();
+  BOOST_TEST((holder.offer(delta) == OfferResult::NeedFull));
+  BOOST_TEST(holder.heldVersion() == 1U);
+  BOOST_TEST(holder.heldDigest() == base->Digest);
+  delta = diffSnapshots(nullptr, *next);
+  delta.Upserts.pop_back();
+  BOOST_TEST((holder.offer(delta) == OfferResult::Refused));
+  BOOST_TEST(holder.heldVersion() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_invalid_version_is_not_applied) {
+  ConfigHolder holder;
+  holder.offer(diffSnapshots(nullptr, *seededSnapshot(1, 9)));
+  const SnapshotPtr bad = snapshotOf(2, {route("r", "/r", "missing")});
+  BOOST_TEST((holder.offer(diffSnapshots(holder.held().get(), *bad)) == OfferResult::Refused));
+  BOOST_TEST(holder.heldVersion() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(declarations_with_unknown_fields_are_refused_with_file_and_field) {
+  const auto parsed = parseDeclarations("routes.json", R"({"routes":[{"nmae":"x"}]})");
+  BOOST_TEST(!parsed.ok());
+  const std::string message(parsed.status().message());
+  BOOST_TEST(message.find("routes.json") != std::string::npos);
+  BOOST_TEST(message.find("nmae") != std::string::npos, message);
+  BOOST_TEST(!parseDeclarations("x.json", "{not json").ok());
+}
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Runs clang-tidy on the project's own code. Argument: the build folder.
+set -eu
+BUILD=${1:-build}
+ls src/*.cpp tools/*.cpp standins/*.cpp 2>/dev/null |
+  xargs -P "$(nproc)" -n 1 clang-tidy -p "$BUILD" --quiet
