--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -112,6 +112,8 @@
   stage @2 :UInt32;
   reason @3 :Text;
   timeMs @4 :UInt64;
+  service @5 :Text;
+  toVersion @6 :Text;
 }
 
 struct SubtreeSummary {
@@ -143,7 +145,7 @@
   version @1 :Text;
   requests @2 :UInt64;
   failures @3 :UInt64;
-  latency @4 :List(UInt32);    # Counts by logarithmic bucket.
+  latency @4 :List(UInt32);    # Pairs of a logarithmic bucket and its count, empty buckets left out.
 }
 
 struct EvidenceReport {
--- a/src/control_task.cpp
+++ b/src/control_task.cpp
@@ -35,6 +35,8 @@
 /// Time after which a node that has found no other is taken for the first of its data centre.
 constexpr DurationMs AloneTime = 1500;
 constexpr DurationMs DrainAnnounceTime = 100;
+constexpr DurationMs EvidenceTimeout = 1 * MsPerSecond;
+constexpr DurationMs EvidenceLinkTime = 3 * MsPerSecond;
 
 } // namespace
 
@@ -666,34 +668,50 @@
   const RolloutSpec *spec = findRollout(*held, reports.front().Rollout);
   if (spec == nullptr)
     return;
-  for (const HostID &steward : stewardsOf(*spec, Node.hosts())) {
-    if (steward == Settings.Identity.Host) {
-      for (const EvidenceReport &report : reports)
-        takeEvidence(report);
-      continue;
-    }
-    const HostRecord *record = Node.hosts().find(steward);
-    auto sent =
-        Peers.get(record->RpcAddress)
-            .then([this, reports](std::shared_ptr<PeerConnection> connection) {
-              auto request = connection->Peer.evidenceRequest();
-              auto list = request.initReports(static_cast<unsigned>(reports.size()));
-              unsigned n = 0;
-              for (const EvidenceReport &report : reports)
-                writeEvidence(list[n++], report);
-              return request.send().then([this, connection](auto &&response) {
-                ExchangeEffect effect;
-                for (auto progress : response.getProgress())
-                  effect.ProgressChanged |= Node.offerProgress(readProgress(progress));
-                if (effect.ProgressChanged)
-                  changed(effect);
-                // Keeps the connection for the next report.
-                spawn(timer().afterDelay(2 * MsPerSecond * kj::MILLISECONDS).then([connection] {}),
-                      "evidence");
-              });
-            });
-    spawn(kj::mv(sent), "evidence");
+  sendEvidenceTo(stewardsOf(*spec, Node.hosts()), reports);
+}
+
+void ControlTask::sendEvidenceTo(std::vector<HostID> stewards,
+                                 const std::vector<EvidenceReport> &reports) {
+  if (stewards.empty())
+    return;
+  const HostID steward = stewards.front();
+  stewards.erase(stewards.begin());
+  if (steward == Settings.Identity.Host) {
+    for (const EvidenceReport &report : reports)
+      takeEvidence(report);
+    return;
   }
+  const HostRecord *record = Node.hosts().find(steward);
+  auto sent =
+      Peers.get(record->RpcAddress)
+          .then([this, reports](std::shared_ptr<PeerConnection> connection) {
+            auto request = connection->Peer.evidenceRequest();
+            auto list = request.initReports(static_cast<unsigned>(reports.size()));
+            unsigned n = 0;
+            for (const EvidenceReport &report : reports)
+              writeEvidence(list[n++], report);
+            return request.send().then([this, connection](auto &&response) {
+              takeProgress(response.getProgress());
+              // Keeps the connection for the next report.
+              spawn(timer().afterDelay(EvidenceLinkTime * kj::MILLISECONDS).then([connection] {}),
+                    "evidence");
+            });
+          });
+  // The second steward is asked only where the first one fails.
+  spawn(timer()
+            .timeoutAfter(EvidenceTimeout * kj::MILLISECONDS, kj::mv(sent))
+            .catch_(
+                [this, stewards, reports](kj::Exception &&) { sendEvidenceTo(stewards, reports); }),
+        "evidence");
+}
+
+void ControlTask::takeProgress(capnp::List<wire::RolloutProgress>::Reader list) {
+  ExchangeEffect effect;
+  for (auto progress : list)
+    effect.ProgressChanged |= Node.offerProgress(readProgress(progress));
+  if (effect.ProgressChanged)
+    changed(effect);
 }
 
 kj::Promise<void> ControlTask::stewardLoop() {
--- a/src/control_task.h
+++ b/src/control_task.h
@@ -113,6 +113,8 @@
   void trySeeds();
   void steer();
   void sendEvidence(const std::vector<EvidenceReport> &reports);
+  void sendEvidenceTo(std::vector<HostID> stewards, const std::vector<EvidenceReport> &reports);
+  void takeProgress(capnp::List<wire::RolloutProgress>::Reader list);
   void wakeWaiters();
   bool mayServe() const;
   bool failedRecently(const HostID &peer) const;
--- a/src/gate_task.cpp
+++ b/src/gate_task.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr DurationMs TickPeriod = 20;
-constexpr DurationMs EvidencePeriod = 250;
+constexpr DurationMs EvidencePeriod = 500;
 constexpr DurationMs ClaimTimeout = 500;
 /// Time in which a cold upstream's latency is no evidence.
 constexpr DurationMs WarmUp = 5 * MsPerSecond;
@@ -83,10 +83,8 @@
 void GateTask::setView(RoutingViewPtr view) {
   View = std::move(view);
   const ServiceView *service = View->serviceNamed(Admission.upstream().Service);
-  const bool takenBack = service != nullptr && service->Rollout.has_value() &&
-                         service->Progress.Phase == RolloutPhase::TakenBack &&
-                         service->Rollout->To == Admission.upstream().Version;
-  Admission.setTakenBack(takenBack);
+  Admission.setTakenBack(service != nullptr &&
+                         !mayServe(*service, Admission.upstream().Version));
 }
 
 void GateTask::setUpstream(const LocalUpstream &upstream, const std::string &address,
--- a/src/ingress_base.cpp
+++ b/src/ingress_base.cpp
@@ -117,6 +117,14 @@
   return view;
 }
 
+bool mayServe(const ServiceView &service, const VersionLabel &version) {
+  if (version == service.Version)
+    return true;
+  if (!service.Rollout.has_value() || version != service.Rollout->To)
+    return false;
+  return service.Progress.Phase != RolloutPhase::TakenBack;
+}
+
 void EndpointLedger::noteSent(const HostID &host) { ++Entries[host.str()].InFlight; }
 
 void EndpointLedger::noteDone(const HostID &host) {
--- a/src/ingress_base.h
+++ b/src/ingress_base.h
@@ -54,6 +54,10 @@
                                 const std::map<RolloutID, RolloutProgress> &progress,
                                 const DataCentreName &local);
 
+/// @returns whether a version may get the service's traffic: it is the current one, or the one that
+/// a rollout moves from or to unless it was taken back.
+bool mayServe(const ServiceView &service, const VersionLabel &version);
+
 /// Weight of a cold upstream at its start, as a fraction.
 constexpr double ColdWeight = 0.1;
 /// Time in which a cold upstream comes to its full weight.
--- a/src/mesh_node.cpp
+++ b/src/mesh_node.cpp
@@ -8,8 +8,8 @@
 namespace jasmineloom {
 
 namespace {
-/// Digests that differ this often in a row, with nothing under way, make a node send its table
-/// anew.
+/// Digests that differ this often in a row, with nothing under way, make a node read the peer's
+/// table anew.
 constexpr std::uint32_t MaxDigestMismatches = 3;
 } // namespace
 
@@ -65,7 +65,9 @@
   message.SeenIncarnation = link.PeerIncarnation;
   message.Joining = joining;
   message.WantFull = WantFull;
-  HostBatch batch = Hosts.after(link.PeerSeenCursor, peer, MaxRecordsPerMessage);
+  const bool resend = link.PeerSeenCursor < link.ResendUntil;
+  HostBatch batch =
+      Hosts.after(link.PeerSeenCursor, resend ? HostID() : peer, MaxRecordsPerMessage);
   message.Records = std::move(batch.Records);
   message.Cursor = batch.Cursor;
   link.SentCursor = batch.Cursor;
@@ -144,8 +146,16 @@
   if (++link.DigestMismatches < MaxDigestMismatches)
     return;
   link.DigestMismatches = 0;
-  link.PeerSeenCursor = 0;
-  link.SentCursor = 0;
+  // Reads the peer's whole table again; the peer does the same with this one.
+  link.OurSeenCursor = 0;
+}
+
+void MeshNode::takeSeenCursor(const ExchangeMessage &message, Link &link) const {
+  if (message.SeenIncarnation != Identity.Incarnation || message.SeenCursor > Hosts.cursor())
+    return;
+  if (message.SeenCursor < link.PeerSeenCursor)
+    link.ResendUntil = Hosts.cursor();
+  link.PeerSeenCursor = message.SeenCursor;
 }
 
 ExchangeEffect MeshNode::takeMessage(const ExchangeMessage &message, TimeMs now) {
@@ -161,8 +171,7 @@
   link.LastHeard = now;
   link.Child = message.Joining;
   link.PeerSummary = message.Summary;
-  if (message.SeenIncarnation == Identity.Incarnation && message.SeenCursor <= Hosts.cursor())
-    link.PeerSeenCursor = std::max(link.PeerSeenCursor, message.SeenCursor);
+  takeSeenCursor(message, link);
   takeConfig(message, link, effect);
   effect.TableChanged = takeRecords(message, now);
   link.OurSeenCursor = std::max(link.OurSeenCursor, message.Cursor);
--- a/src/mesh_node.h
+++ b/src/mesh_node.h
@@ -67,6 +67,7 @@
   TimeMs LastHeard = 0;
   std::uint64_t PeerSequence = 0; ///< Sequence of the peer's own record when last heard.
   std::uint32_t DigestMismatches = 0;
+  std::uint64_t ResendUntil = 0;     ///< Up to here all records are sent, the peer's own ones too.
 };
 
 /// Identity of a node.
@@ -158,6 +159,7 @@
   void takeConfig(const ExchangeMessage &message, Link &link, ExchangeEffect &effect);
   bool takeRecords(const ExchangeMessage &message, TimeMs now);
   void compareDigests(const ExchangeMessage &message, Link &link);
+  void takeSeenCursor(const ExchangeMessage &message, Link &link) const;
   void refuteIfBuried(TimeMs now);
 
   NodeIdentity Identity;
--- a/src/operator_service.cpp
+++ b/src/operator_service.cpp
@@ -159,7 +159,10 @@
     return kj::READY_NOW;
   }
   RolloutProgress progress;
+  const RolloutSpec *spec = findRollout(*held, id);
   progress.ID = id;
+  progress.Service = spec->Service;
+  progress.To = spec->To;
   progress.Phase = RolloutPhase::TakenBack;
   progress.Reason = "aborted: " + wireText(context.getParams().getReason());
   progress.Time = wallClockMs();
@@ -190,6 +193,8 @@
       continue;
     RolloutSpec ended;
     ended.ID = id;
+    ended.Service = it.Service;
+    ended.To = it.To;
     specs.push_back(ended);
   }
   auto list = context.getResults().initRollouts(static_cast<unsigned>(specs.size()));
--- a/src/rollout_func.cpp
+++ b/src/rollout_func.cpp
@@ -306,6 +306,8 @@
     return std::nullopt;
   RolloutProgress next = progress;
   next.ID = spec.ID;
+  next.Service = spec.Service;
+  next.To = spec.To;
   next.Time = now;
   const Finding finding = judgeAll(rule, spec, book, now);
   if (finding.Result == Verdict::Bad) {
--- a/src/rollout_type.h
+++ b/src/rollout_type.h
@@ -21,6 +21,8 @@
   std::uint32_t Stage = 0;
   std::string Reason;
   TimeMs Time = 0; ///< When the phase or stage was entered.
+  ServiceName Service;
+  VersionLabel To;
   auto operator<=>(const RolloutProgress &) const = default;
 };
 
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -45,11 +45,18 @@
   to.setStage(progress.Stage);
   to.setReason(progress.Reason);
   to.setTimeMs(progress.Time);
+  to.setService(progress.Service.str());
+  to.setToVersion(progress.To.str());
 }
 
 RolloutProgress readProgress(wire::RolloutProgress::Reader from) {
-  return {RolloutID(wireText(from.getId())), static_cast<RolloutPhase>(from.getPhase()),
-          from.getStage(), wireText(from.getReason()), from.getTimeMs()};
+  return {RolloutID(wireText(from.getId())),
+          static_cast<RolloutPhase>(from.getPhase()),
+          from.getStage(),
+          wireText(from.getReason()),
+          from.getTimeMs(),
+          ServiceName(wireText(from.getService())),
+          VersionLabel(wireText(from.getToVersion()))};
 }
 
 void writeEvidence(wire::EvidenceReport::Builder to, const EvidenceReport &report) {
@@ -65,9 +72,12 @@
     it.setVersion(key.Version.str());
     it.setRequests(counts.Requests);
     it.setFailures(counts.Failures);
-    auto latency = it.initLatency(LatencyBuckets);
-    for (unsigned bucket = 0; bucket < LatencyBuckets; ++bucket)
-      latency.set(bucket, counts.Latency[bucket]);
+    std::vector<std::uint32_t> pairs;
+    for (std::uint32_t bucket = 0; bucket < LatencyBuckets; ++bucket) {
+      if (counts.Latency[bucket] != 0)
+        pairs.insert(pairs.end(), {bucket, counts.Latency[bucket]});
+    }
+    it.setLatency(kj::arrayPtr(pairs.data(), pairs.size()));
   }
 }
 
@@ -83,10 +93,10 @@
             .Counts[{RouteName(wireText(it.getRoute())), VersionLabel(wireText(it.getVersion()))}];
     counts.Requests = it.getRequests();
     counts.Failures = it.getFailures();
-    unsigned bucket = 0;
-    for (const std::uint32_t n : it.getLatency()) {
-      if (bucket < LatencyBuckets)
-        counts.Latency[bucket++] = n;
+    const auto pairs = it.getLatency();
+    for (unsigned n = 0; n + 1 < pairs.size(); n += 2) {
+      if (pairs[n] < LatencyBuckets)
+        counts.Latency[pairs[n]] = pairs[n + 1];
     }
   }
   return report;
--- /dev/null
+++ b/tests/traffic_test.cpp
@@ -0,0 +1,496 @@
+/// @file traffic_test.cpp Decisions on requests: gate, key memory, choice, retries, routing view.
+#define BOOST_TEST_MODULE traffic
+#include <boost/test/unit_test.hpp>
+
+#include "gate_base.h"
+#include "ingress_base.h"
+#include "key_memory.h"
+
+#include "test_config.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace jasmineloom;
+using namespace jasmineloom::testing;
+
+namespace {
+
+constexpr TimeMs Now = 10000000;
+
+GateRequest request(GateTicket ticket, std::uint32_t worth = 1, std::uint64_t fingerprint = 0) {
+  return {ticket,        ServiceName("lookups"), VersionLabel("v1"), worth, Now + 1000,
+          fingerprint == 0 ? ticket : fingerprint};
+}
+
+Gate openGate(std::uint32_t slots) {
+  Gate gate;
+  gate.setUpstream({ServiceName("lookups"), VersionLabel("v1"), slots});
+  return gate;
+}
+
+struct RefusalCase {
+  const char *Name;
+  void (*Prepare)(Gate &);
+  GateRequest Request;
+  Refusal Expected;
+};
+
+/// Model of the service's hosts: which keys each remembers, and which ran.
+class KeyModel {
+public:
+  explicit KeyModel(int hosts) {
+    for (int n = 0; n < hosts; ++n)
+      add("host" + std::to_string(n), Now - 2 * KeyWindow);
+  }
+
+  void add(const std::string &name, TimeMs since) {
+    Memories[name] = {};
+    const bool restarted = Holders.contains(name) && Holders[name].GoneSince == 0;
+    Holders[name] = {HostID(name), since, 0, restarted};
+  }
+  void kill(const std::string &name, TimeMs now) {
+    Holders[name].GoneSince = now;
+    Memories[name] = {};
+  }
+
+  /// A request with a key arrives at a host that is alive.
+  void send(const std::string &name, const std::string &key, TimeMs now) {
+    if (Holders.at(name).GoneSince != 0)
+      return;
+    std::vector<KeyHolder> holders;
+    for (const auto &[host, holder] : Holders)
+      holders.push_back(holder);
+    const KeyPlan plan = planKeyClaim(holders, key, now);
+    if (!plan.Provable)
+      return;
+    const std::uint64_t hash = std::hash<std::string>()(key);
+    bool fresh = Memories[name].claim(hash, now) == KeyClaim::New;
+    for (const HostID &holder : plan.Holders) {
+      if (holder.str() != name)
+        fresh &= Memories[holder.str()].claim(hash, now) == KeyClaim::New;
+    }
+    Runs[key] += fresh ? 1 : 0;
+    Refused += fresh ? 0 : 1;
+  }
+
+  std::vector<std::string> alive() const {
+    std::vector<std::string> names;
+    for (const auto &[name, holder] : Holders) {
+      if (holder.GoneSince == 0)
+        names.push_back(name);
+    }
+    return names;
+  }
+
+  std::map<std::string, int> Runs;
+  std::map<std::string, KeyHolder> Holders;
+  int Refused = 0;
+
+private:
+  std::map<std::string, KeyMemory> Memories;
+};
+
+ServiceView serviceView(int endpoints, std::optional<RolloutSpec> spec = std::nullopt) {
+  ServiceView view;
+  view.Name = ServiceName("lookups");
+  view.Version = VersionLabel("v1");
+  view.Rollout = std::move(spec);
+  for (int n = 0; n < endpoints; ++n) {
+    const bool isNew = view.Rollout.has_value() && n % 2 == 1;
+    view.Endpoints.push_back({HostID("h" + std::to_string(n)), "127.0.0.1:1",
+                              VersionLabel(isNew ? "v2" : "v1"), 12, n % 3 == 0, 0});
+  }
+  return view;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_a_gate_refuses_is_not_run) {
+  GateRequest late = request(1);
+  late.Deadline = Now;
+  GateRequest otherVersion = request(1);
+  otherVersion.Version = VersionLabel("v2");
+  GateRequest otherService = request(1);
+  otherService.Service = ServiceName("payouts");
+  const std::vector<RefusalCase> cases = {
+      {"draining", [](Gate &gate) { gate.setDraining(true); }, request(1), Refusal::Draining},
+      {"taken back", [](Gate &gate) { gate.setTakenBack(true); }, request(1), Refusal::TakenBack},
+      {"late", [](Gate &) {}, late, Refusal::Deadline},
+      {"other version", [](Gate &) {}, otherVersion, Refusal::WrongUpstream},
+      {"other service", [](Gate &) {}, otherService, Refusal::WrongUpstream},
+      {"no upstream", [](Gate &gate) { gate.setUpstream({}); }, request(1), Refusal::NoUpstream},
+      {"crashed twice",
+       [](Gate &gate) {
+         gate.crashes().note(9, Now);
+         gate.crashes().note(9, Now);
+       },
+       request(1, 1, 9), Refusal::Quarantined},
+  };
+  for (const RefusalCase &it : cases) {
+    Gate gate = openGate(2);
+    it.Prepare(gate);
+    const AdmissionResult result = gate.admit(it.Request, Now);
+    BOOST_TEST((result.Result == Admission::Refused), it.Name);
+    BOOST_TEST((result.Reason == it.Expected), it.Name);
+    BOOST_TEST(gate.inFlight() == 0U, it.Name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(slots_are_never_exceeded_and_no_request_is_lost) {
+  for (std::uint32_t seed = 1; seed <= 300; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      std::mt19937 random(seed);
+      Gate gate = openGate(1 + random() % 12);
+      std::map<GateTicket, std::string> state;
+      std::vector<GateTicket> running;
+      TimeMs now = Now;
+      const auto take = [&](const GateRelease &released) {
+        for (const GateTicket it : released.Run) {
+          BOOST_TEST(state[it] == "queued");
+          state[it] = "running";
+          running.push_back(it);
+        }
+        for (const GateTicket it : released.Expired) {
+          BOOST_TEST(state[it] == "queued");
+          state[it] = "refused";
+        }
+      };
+      for (GateTicket ticket = 1; ticket <= 400; ++ticket) {
+        now += random() % 20;
+        GateRequest next = request(ticket, 1 + random() % 5, 1 + random() % 30);
+        next.Deadline = now + 1 + random() % 500;
+        if (random() % 25 == 0)
+          gate.crashes().note(next.Fingerprint, now);
+        const AdmissionResult result = gate.admit(next, now);
+        if (result.Evicted.has_value())
+          state[*result.Evicted] = "refused";
+        state[ticket] = result.Result == Admission::Run      ? "running"
+                        : result.Result == Admission::Queued ? "queued"
+                                                             : "refused";
+        if (result.Result == Admission::Run)
+          running.push_back(ticket);
+        BOOST_TEST(running.size() <= gate.upstream().Slots);
+        BOOST_TEST(gate.inFlight() == running.size());
+        while (!running.empty() && random() % 3 != 0) {
+          running.erase(running.begin() + static_cast<long>(random() % running.size()));
+          take(gate.finish(now));
+        }
+        take(gate.tick(now));
+        BOOST_TEST(running.size() <= gate.upstream().Slots);
+      }
+      while (!running.empty()) {
+        running.pop_back();
+        take(gate.finish(now));
+      }
+      for (const auto &[ticket, what] : state)
+        BOOST_TEST(what != "queued");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(in_overload_the_least_worth_is_shed) {
+  Gate gate = openGate(1);
+  gate.admit(request(1, 1), Now);
+  gate.admit(request(2, 1), Now);
+  gate.admit(request(3, 1), Now);
+  const AdmissionResult worthy = gate.admit(request(4, 8), Now);
+  BOOST_TEST((worthy.Result == Admission::Queued));
+  BOOST_TEST((worthy.Evicted == std::optional<GateTicket>(3)));
+  BOOST_TEST((gate.admit(request(5, 1), Now).Reason == Refusal::Overloaded));
+  BOOST_TEST((gate.finish(Now).Run == std::vector<GateTicket>{4}));
+}
+
+BOOST_AUTO_TEST_CASE(draining_lets_queued_and_running_requests_end) {
+  Gate gate = openGate(1);
+  gate.admit(request(1), Now);
+  gate.admit(request(2), Now);
+  gate.setDraining(true);
+  BOOST_TEST((gate.finish(Now).Run == std::vector<GateTicket>{2}));
+  BOOST_TEST((gate.admit(request(3), Now).Reason == Refusal::Draining));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_takes_at_most_two_upstreams) {
+  // Twelve popular requests are in flight with the bad one at each crash.
+  std::vector<Gate> gates;
+  for (int n = 0; n < 5; ++n)
+    gates.push_back(openGate(12));
+  constexpr std::uint64_t Bad = 99;
+  int crashes = 0;
+  GateTicket ticket = 0;
+  for (int attempt = 0; attempt < 40; ++attempt) {
+    Gate &gate = gates[static_cast<std::size_t>(attempt) % gates.size()];
+    std::vector<GateRequest> running;
+    for (std::uint64_t popular = 1; popular <= 5; ++popular) {
+      const GateRequest it = request(++ticket, 1, popular);
+      if (gate.admit(it, Now).Result == Admission::Run)
+        running.push_back(it);
+    }
+    const GateRequest bad = request(++ticket, 1, Bad);
+    const AdmissionResult result = gate.admit(bad, Now);
+    bool badRuns = result.Result == Admission::Run;
+    std::size_t left = running.size();
+    while (!badRuns && result.Result == Admission::Queued && left > 0) {
+      const GateRelease released = gate.finish(Now);
+      --left;
+      badRuns = std::count(released.Run.begin(), released.Run.end(), bad.Ticket) > 0;
+    }
+    if (badRuns) {
+      ++crashes;
+      // All that was in flight there is noted at every gate of the data centre.
+      for (Gate &other : gates) {
+        other.crashes().note(Bad, Now);
+        for (std::size_t it = 0; it < left; ++it)
+          other.crashes().note(running[it].Fingerprint, Now);
+      }
+    }
+    while (gate.inFlight() > 0)
+      gate.finish(Now);
+    for (const GateRequest &it : running)
+      for (Gate &other : gates)
+        other.crashes().clear(it.Fingerprint);
+  }
+  BOOST_TEST(crashes == 2);
+  BOOST_TEST((gates[0].admit(request(++ticket, 1, Bad), Now).Reason == Refusal::Quarantined));
+  BOOST_TEST((gates[0].admit(request(++ticket, 1, 1), Now).Result == Admission::Run));
+}
+
+BOOST_AUTO_TEST_CASE(a_false_match_lapses) {
+  CrashLedger ledger;
+  ledger.note(5, Now);
+  ledger.note(5, Now);
+  BOOST_TEST(ledger.quarantined(5, Now + QuarantineTime - 1));
+  BOOST_TEST(!ledger.quarantined(5, Now + QuarantineTime));
+  for (std::uint64_t it = 100; it < 100 + 2 * MaxFingerprints; ++it)
+    ledger.note(it, Now + it);
+  BOOST_TEST(ledger.suspect(100 + 2 * MaxFingerprints - 1, Now + 200));
+}
+
+BOOST_AUTO_TEST_CASE(keys_are_kept_for_their_window_and_a_full_table_forgets_none) {
+  KeyMemory memory;
+  BOOST_TEST((memory.claim(1, Now) == KeyClaim::New));
+  BOOST_TEST((memory.claim(1, Now + KeyWindow - 1) == KeyClaim::Used));
+  BOOST_TEST((memory.claim(1, Now + KeyWindow) == KeyClaim::New));
+  memory.release(1);
+  BOOST_TEST((memory.claim(1, Now + KeyWindow + 1) == KeyClaim::New));
+  for (std::uint64_t key = 1000; memory.size() < MaxKeys; ++key)
+    memory.claim(key, Now + KeyWindow + 1);
+  BOOST_TEST((memory.claim(7, Now + KeyWindow + 2) == KeyClaim::Full));
+  BOOST_TEST((memory.claim(1, Now + KeyWindow + 2) == KeyClaim::Used));
+}
+
+BOOST_AUTO_TEST_CASE(a_released_and_claimed_key_is_not_forgotten_by_its_first_expiry) {
+  KeyMemory memory;
+  memory.claim(1, Now);
+  memory.release(1);
+  memory.claim(1, Now + 1000);
+  memory.claim(2, Now + KeyWindow);
+  BOOST_TEST((memory.claim(1, Now + KeyWindow + 10) == KeyClaim::Used));
+}
+
+BOOST_AUTO_TEST_CASE(a_key_runs_at_most_once_through_any_host_while_hosts_are_lost) {
+  int runs = 0;
+  for (std::uint32_t seed = 1; seed <= 500; ++seed) {
+    std::mt19937 random(seed);
+    KeyModel model(3 + static_cast<int>(random() % 6));
+    TimeMs now = Now;
+    int added = 0;
+    for (int step = 0; step < 60; ++step) {
+      now += random() % (KeyWindow / 20);
+      const std::vector<std::string> alive = model.alive();
+      const std::string &some = alive[random() % alive.size()];
+      const std::uint32_t draw = random() % 12;
+      if (draw == 0 && alive.size() > 2)
+        model.kill(some, now);
+      else if (draw == 1)
+        model.add(some, now); // Restarted: its memory is lost.
+      else if (draw == 2)
+        model.add("new" + std::to_string(++added), now);
+      else
+        model.send(some, "key" + std::to_string(now / KeyWindow) + "-" +
+                             std::to_string(random() % 4),
+                   now);
+    }
+    for (const auto &[key, n] : model.Runs) {
+      BOOST_TEST(n <= 1, "seed " << seed << " key " << key << " ran " << n << " times");
+      runs += n;
+    }
+  }
+  BOOST_TEST(runs > 1000);
+}
+
+BOOST_AUTO_TEST_CASE(one_lost_host_stops_no_key) {
+  KeyModel model(3);
+  model.send("host0", "first", Now);
+  model.kill("host0", Now + 1);
+  for (int n = 0; n < 50; ++n)
+    model.send("host1", "key" + std::to_string(n), Now + 2);
+  int runs = 0;
+  for (const auto &[key, n] : model.Runs)
+    runs += n;
+  BOOST_TEST(runs == 51);
+}
+
+BOOST_AUTO_TEST_CASE(routes_match_the_longest_prefix_at_segment_boundaries) {
+  const SnapshotPtr snapshot = snapshotOf(
+      3, {service("a"), service("b"), route("ra", "/a", "a"), route("rb", "/a/b", "b")});
+  const RoutingViewPtr view = buildRoutingView(*snapshot, {}, {}, DataCentreName("dc"));
+  struct PathCase {
+    const char *Path;
+    const char *Route;
+  };
+  for (const PathCase &it : {PathCase{"/a", "ra"}, {"/a/", "ra"}, {"/a/x/y", "ra"},
+                             {"/a/b", "rb"}, {"/a/b/c?q=/z", "rb"}, {"/ab", ""}, {"/", ""},
+                             {"/a?x=1", "ra"}, {"", ""}, {"x", ""}, {"//a", ""}}) {
+    const RouteSpec *found = view->routeFor(it.Path);
+    BOOST_TEST((found == nullptr ? "" : found->Name.str()) == it.Route, it.Path);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(no_route_points_at_a_service_that_the_view_lacks) {
+  for (std::uint32_t seed = 0; seed < 64; ++seed) {
+    const SnapshotPtr snapshot = seededSnapshot(1, seed);
+    const RoutingViewPtr view = buildRoutingView(*snapshot, {}, {}, DataCentreName("dc"));
+    for (const auto &[prefix, spec] : view->Routes)
+      BOOST_TEST(view->serviceNamed(spec.Service) != nullptr);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_was_taken_back_gets_nothing_even_alone) {
+  ServiceView view = serviceView(2, rollout("r", "lookups", "v1", "v2", Now, Now + 100000));
+  std::erase_if(view.Endpoints, [](const Endpoint &it) { return it.Version.str() == "v1"; });
+  EndpointLedger ledger;
+  std::mt19937_64 random(1);
+  BOOST_TEST(chooseEndpoint(view, ledger, {}, random, Now + 50000) != nullptr);
+  view.Progress.Phase = RolloutPhase::TakenBack;
+  BOOST_TEST(chooseEndpoint(view, ledger, {}, random, Now + 50000) == nullptr);
+  BOOST_TEST(chooseEndpointForKey(view, "k", ledger, {}, Now + 50000) == nullptr);
+  BOOST_TEST(!mayServe(view, VersionLabel("v2")));
+  BOOST_TEST(mayServe(view, VersionLabel("v1")));
+}
+
+BOOST_AUTO_TEST_CASE(the_share_of_the_new_version_follows_its_stage) {
+  ServiceView view = serviceView(10, rollout("r", "lookups", "v1", "v2", Now, Now + 1000000));
+  EndpointLedger ledger;
+  std::mt19937_64 random(5);
+  struct ShareCase {
+    std::uint32_t Stage;
+    double Low;
+    double High;
+  };
+  for (const ShareCase &it : {ShareCase{0, 0.005, 0.016}, {1, 0.04, 0.06}, {3, 0.47, 0.53}}) {
+    view.Progress.Stage = it.Stage;
+    int moved = 0;
+    for (int n = 0; n < 20000; ++n)
+      moved += chooseEndpoint(view, ledger, {}, random, Now + 1)->Version.str() == "v2" ? 1 : 0;
+    BOOST_TEST(moved / 20000.0 > it.Low);
+    BOOST_TEST(moved / 20000.0 < it.High);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(unreachable_hosts_are_left_out_and_come_back) {
+  const ServiceView view = serviceView(4);
+  EndpointLedger ledger;
+  std::mt19937_64 random(2);
+  ledger.noteUnreachable(HostID("h0"), Now);
+  ledger.noteUnreachable(HostID("h3"), Now);
+  for (int n = 0; n < 200; ++n) {
+    const std::string host = chooseEndpoint(view, ledger, {}, random, Now + 1)->Host.str();
+    BOOST_TEST((host == "h1" || host == "h2"));
+  }
+  std::map<std::string, int> seen;
+  for (int n = 0; n < 200; ++n)
+    ++seen[chooseEndpoint(view, ledger, {}, random, Now + MinEjection)->Host.str()];
+  BOOST_TEST(seen.contains("h0"));
+}
+
+BOOST_AUTO_TEST_CASE(a_cold_upstream_gets_less_at_first) {
+  ServiceView view = serviceView(2);
+  view.Endpoints[0].Local = view.Endpoints[1].Local = true;
+  view.Endpoints[1].Since = Now;
+  EndpointLedger ledger;
+  std::mt19937_64 random(3);
+  int cold = 0;
+  for (int n = 0; n < 1000; ++n)
+    cold += chooseEndpoint(view, ledger, {}, random, Now)->Host.str() == "h1" ? 1 : 0;
+  BOOST_TEST(cold < 350);
+}
+
+struct RetryCase {
+  const char *Name;
+  AttemptResult Result;
+  bool Idempotent;
+  bool Budget;
+  std::uint32_t Attempts;
+  bool Late;
+  NextStep Expected;
+};
+
+BOOST_AUTO_TEST_CASE(only_what_can_not_have_run_or_is_idempotent_is_tried_again) {
+  const std::vector<RetryCase> cases = {
+      {"answered", AttemptResult::Answered, true, true, 1, false, NextStep::Reply},
+      {"not run, once", AttemptResult::NotRun, false, true, 1, false, NextStep::TryAgain},
+      {"not run, no budget", AttemptResult::NotRun, false, false, 1, false, NextStep::Reply},
+      {"not run, late", AttemptResult::NotRun, false, true, 1, true, NextStep::Reply},
+      {"unknown, once", AttemptResult::Unknown, false, true, 1, false, NextStep::Reply},
+      {"unknown, idempotent", AttemptResult::Unknown, true, true, 1, false, NextStep::TryAgain},
+      {"unknown, no budget", AttemptResult::Unknown, true, false, 1, false, NextStep::Reply},
+      {"too many", AttemptResult::NotRun, true, true, MaxAttempts, false, NextStep::Reply},
+  };
+  for (const RetryCase &it : cases) {
+    const TimeMs deadline = it.Late ? Now : Now + 1000;
+    BOOST_TEST((decideRetry(it.Result, it.Idempotent, it.Budget, it.Attempts, deadline, Now) ==
+                it.Expected),
+               it.Name);
+  }
+}
+
+namespace {
+
+/// A chain of ingress nodes, each with its budget; the last hop's upstream refuses a share.
+class Chain {
+public:
+  Chain(int hops, double refused, std::uint32_t seed)
+      : Budgets(static_cast<std::size_t>(hops)), Refused(refused), Random(seed) {}
+
+  /// @returns the outcome of one call at a hop.
+  AttemptResult call(std::size_t hop) {
+    Budgets[hop].noteFresh();
+    std::uint32_t attempts = 0;
+    for (;;) {
+      ++attempts;
+      AttemptResult result = AttemptResult::Answered;
+      if (hop + 1 == Budgets.size()) {
+        ++Bottom;
+        const bool refuse = std::uniform_real_distribution<>(0, 1)(Random) < Refused;
+        result = refuse ? AttemptResult::NotRun : AttemptResult::Answered;
+      } else {
+        // A failure below comes back as the upstream's own answer, so that one layer retries.
+        call(hop + 1);
+      }
+      const bool budget = result != AttemptResult::Answered && Budgets[hop].take();
+      if (decideRetry(result, true, budget, attempts, Now + 1000, Now) == NextStep::Reply)
+        return result;
+    }
+  }
+
+  long Bottom = 0;
+
+private:
+  std::vector<RetryBudget> Budgets;
+  double Refused;
+  std::mt19937 Random;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(retries_over_twelve_hops_do_not_multiply) {
+  for (const double refused : {0.1, 0.5, 0.9, 1.0}) {
+    Chain chain(12, refused, 4);
+    constexpr int Calls = 5000;
+    for (int n = 0; n < Calls; ++n)
+      chain.call(0);
+    BOOST_TEST(static_cast<double>(chain.Bottom) / Calls < 1.2, "refused " << refused);
+  }
+}
