--- a/standins/store_standin.cpp
+++ b/standins/store_standin.cpp
@@ -127,7 +127,7 @@
     evhttp_connection_set_closecb(
         evhttp_request_get_connection(request),
         [](evhttp_connection *, void *arg) { static_cast<Late *>(arg)->Request = nullptr; }, &*it);
-    it->When = std::make_unique<Timer>(Base, [this, it] {
+    it->When = std::make_unique<Timer>(Base, [it] {
       if (it->Request != nullptr) {
         evhttp_connection_set_closecb(evhttp_request_get_connection(it->Request), nullptr, nullptr);
         send(it->Request, it->Answer);
