Hand idempotency keys over when a host leaves; close a hole with two hosts left

Cause: a host that left after a version had moved counted as lost for 10 minutes, so the three old hosts of a moved service made every request with a key unprovable. A leaving gate now sends its keys to all others of its service, claims none any more, and is not counted.

--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -90,6 +90,7 @@
   version @8 :Text;
   slots @9 :UInt32;
   replaced @10 :UInt64;
+  handedOver @11 :Bool;
 }
 
 struct ConfigUpdate {
--- a/src/control_task.cpp
+++ b/src/control_task.cpp
@@ -170,10 +170,9 @@
 void ControlTask::handle(const DrainRequested &message) { drain(message.Cause); }
 
 void ControlTask::handle(const Drained &message) {
-  static_cast<void>(message);
-  note("host", Settings.Identity.Host.str(), "drained");
-  const HostRecord &self = Node.self();
-  Node.announce(HostState::Gone, self.Service, self.Version, self.Slots, wallClockMs());
+  note("host", Settings.Identity.Host.str(),
+       message.KeysHandedOver ? "drained, keys handed over" : "drained, keys not handed over");
+  Node.leave(message.KeysHandedOver, wallClockMs());
   ExchangeEffect effect;
   effect.TableChanged = true;
   changed(effect);
--- a/src/gate_task.cpp
+++ b/src/gate_task.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -25,6 +26,10 @@
 constexpr const char *ClaimPath = "/.jasmineloom/claim/";
 constexpr const char *ReleasePath = "/.jasmineloom/release/";
 constexpr const char *CrashPath = "/.jasmineloom/crash/";
+constexpr const char *KeysPath = "/.jasmineloom/keys";
+constexpr std::size_t KeysPerCall = 10000;
+constexpr DurationMs HandOverTimeout = 2 * MsPerSecond;
+constexpr int StatusLeaving = 503;
 constexpr const char *SecretHeader = "x-jasmine-secret";
 constexpr int StatusNew = 200;
 constexpr int StatusUsed = 409;
@@ -118,6 +123,8 @@
   if (absl::StartsWith(request.Path, "/.jasmineloom/")) {
     if (absl::StartsWith(request.Path, CrashPath))
       takeCrash(request);
+    else if (request.Path == KeysPath)
+      takeKeys(request);
     else
       takeClaim(request);
     return;
@@ -168,6 +175,11 @@
     Server.reply(request.ID, {StatusNew, {}, nullptr});
     return;
   }
+  // A key claimed here now would be at no other gate after this one has left.
+  if (HandingOver) {
+    Server.reply(request.ID, {StatusLeaving, {}, nullptr});
+    return;
+  }
   const KeyClaim claim = Keys.claim(key, wallClockMs());
   const int status = claim == KeyClaim::New    ? StatusNew
                      : claim == KeyClaim::Used ? StatusUsed
@@ -175,6 +187,65 @@
   Server.reply(request.ID, {status, {}, nullptr});
 }
 
+void GateTask::takeKeys(const HttpRequest &request) {
+  const std::string text = textOf(request.Body.get());
+  for (const absl::string_view line : absl::StrSplit(text, '\n', absl::SkipEmpty())) {
+    const std::pair<absl::string_view, absl::string_view> parts = absl::StrSplit(line, ' ');
+    RememberedKey key;
+    if (absl::SimpleAtoi(parts.first, &key.Key) && absl::SimpleAtoi(parts.second, &key.Expires))
+      Keys.takeOver(key);
+  }
+  Server.reply(request.ID, {HandingOver ? StatusLeaving : StatusNew, {}, nullptr});
+}
+
+std::vector<std::string> GateTask::otherGates() const {
+  std::vector<std::string> gates;
+  if (!View)
+    return gates;
+  for (const HostRecord &record : View->Hosts) {
+    const bool other = record.Service == Admission.upstream().Service &&
+                       record.Host != Settings.Host && record.State != HostState::Gone;
+    if (other)
+      gates.push_back(record.GateAddress);
+  }
+  return gates;
+}
+
+void GateTask::handOver(std::function<void(bool)> done) {
+  /// What is left of the hand-over.
+  struct Progress {
+    std::size_t Open = 0;
+    bool Failed = false;
+    std::function<void(bool)> Done;
+  };
+  HandingOver = true;
+  const std::vector<RememberedKey> keys = Keys.all();
+  const std::vector<std::string> gates = otherGates();
+  if (keys.empty() || gates.empty()) {
+    done(keys.empty());
+    return;
+  }
+  auto progress = std::make_shared<Progress>();
+  progress->Done = std::move(done);
+  for (std::size_t first = 0; first < keys.size(); first += KeysPerCall) {
+    std::string body;
+    for (std::size_t it = first; it < std::min(keys.size(), first + KeysPerCall); ++it)
+      absl::StrAppend(&body, keys[it].Key, " ", keys[it].Expires, "\n");
+    for (const std::string &gate : gates) {
+      HttpCall call = peerCall(KeysPath);
+      call.Method = EVHTTP_REQ_POST;
+      call.Timeout = HandOverTimeout;
+      call.Body = makeBuffer(body);
+      ++progress->Open;
+      Pool.call(gate, std::move(call), [progress](const HttpResult &result) {
+        progress->Failed |= !result.Complete || result.Status != StatusNew;
+        if (--progress->Open == 0)
+          progress->Done(!progress->Failed);
+      });
+    }
+  }
+}
+
 void GateTask::takeCrash(const HttpRequest &request) {
   std::uint64_t fingerprint = 0;
   const std::string text = request.Path.substr(std::char_traits<char>::length(CrashPath));
@@ -215,7 +286,8 @@
     const auto it = UnreachableUntil.find(record.Host);
     const bool unreachable = it != UnreachableUntil.end() && now < it->second;
     const bool gone = record.State == HostState::Gone || unreachable;
-    hosts.push_back({record.Host, record.Incarnation, gone ? now : 0, record.Replaced != 0});
+    hosts.push_back(
+        {record.Host, record.Incarnation, gone ? now : 0, record.HandedOver, record.Replaced != 0});
   }
   return planKeyClaim(hosts, job.ScopedKey, now);
 }
--- a/src/gate_task.h
+++ b/src/gate_task.h
@@ -46,6 +46,9 @@
   /// @param address IP:port of the upstream.
   void setUpstream(const LocalUpstream &upstream, const std::string &address, bool draining);
   void beginDrain();
+  /// Sends all remembered keys to the other gates of the service and claims none any more.
+  /// @param done called once, with whether all of them have all keys.
+  void handOver(std::function<void(bool)> done);
   /// @returns requests that the gate has not answered.
   std::size_t pending() const { return Server.pending(); }
   const Gate &gate() const { return Admission; }
@@ -55,6 +58,8 @@
 
   void take(HttpRequest request);
   void takeClaim(const HttpRequest &request);
+  void takeKeys(const HttpRequest &request);
+  std::vector<std::string> otherGates() const;
   void takeCrash(const HttpRequest &request);
   void gone(RequestID id);
   void begin(Job &job);
@@ -84,6 +89,7 @@
   HttpServer Server;
   Gate Admission;
   KeyMemory Keys;
+  bool HandingOver = false;
   RoutingViewPtr View;
   std::string UpstreamAddress;
   std::map<RequestID, std::unique_ptr<Job>> Jobs;
--- a/src/host_table.cpp
+++ b/src/host_table.cpp
@@ -22,8 +22,9 @@
   Entry &entry = Entries[record.Host];
   const bool isNew = entry.Position == 0;
   const bool newer = isNew || replaces(record, entry.Record);
-  const std::uint64_t followed =
-      !isNew && record.Incarnation > entry.Record.Incarnation ? entry.Record.Incarnation : 0;
+  const bool forgot =
+      !isNew && record.Incarnation > entry.Record.Incarnation && !entry.Record.HandedOver;
+  const std::uint64_t followed = forgot ? entry.Record.Incarnation : 0;
   const std::uint64_t replaced = std::max({record.Replaced, entry.Record.Replaced, followed});
   if (!newer && replaced == entry.Record.Replaced)
     return false;
--- a/src/key_memory.cpp
+++ b/src/key_memory.cpp
@@ -9,7 +9,7 @@
 
 KeyClaim KeyMemory::claim(std::uint64_t key, TimeMs now) {
   while (!ByAge.empty() && now >= ByAge.front().Expires) {
-    const Entry oldest = ByAge.front();
+    const RememberedKey oldest = ByAge.front();
     ByAge.pop_front();
     const auto it = Keys.find(oldest.Key);
     if (it != Keys.end() && it->second == oldest.Expires)
@@ -26,6 +26,22 @@
 
 void KeyMemory::release(std::uint64_t key) { Keys.erase(key); }
 
+void KeyMemory::takeOver(const RememberedKey &key) {
+  TimeMs &expires = Keys[key.Key];
+  if (key.Expires <= expires)
+    return;
+  expires = key.Expires;
+  ByAge.push_back(key);
+}
+
+std::vector<RememberedKey> KeyMemory::all() const {
+  std::vector<RememberedKey> keys;
+  keys.reserve(Keys.size());
+  for (const auto &[key, expires] : Keys)
+    keys.push_back({key, expires});
+  return keys;
+}
+
 KeyPlan planKeyClaim(const std::vector<KeyHolder> &hosts, const std::string &key, TimeMs now) {
   std::vector<HostID> names;
   for (const KeyHolder &holder : hosts)
@@ -37,19 +53,29 @@
   for (const HostID &host : rendezvousOrder(std::move(names), key)) {
     const auto it = std::find_if(hosts.begin(), hosts.end(),
                                  [&host](const KeyHolder &holder) { return holder.Host == host; });
+    const bool young = now < it->Since + KeyWindow;
+    if (it->HandedOver) {
+      // What its earlier process had forgotten, it could not hand over.
+      lost += young && it->Restarted ? 1 : 0;
+      continue;
+    }
     if (it->GoneSince != 0) {
       lost += now < it->GoneSince + KeyWindow ? 1 : 0;
       continue;
     }
     plan.Holders.push_back(host);
-    const bool elder = now >= it->Since + KeyWindow;
-    elders += elder ? 1 : 0;
-    lost += !elder && it->Restarted ? 1 : 0;
+    elders += young ? 0 : 1;
+    lost += young && it->Restarted ? 1 : 0;
     ++rememberers;
-    if (elders == KeyElders || rememberers == MaxKeyHolders)
+    if (elders == KeyElders)
       break;
+    // More young hosts than can be asked: the elders behind them may know the key.
+    if (rememberers == MaxKeyHolders)
+      return plan;
   }
-  plan.Provable = !plan.Holders.empty() && lost < KeyElders;
+  // Two sets that each leave out one host meet only if two are left.
+  const bool enough = lost == 0 || plan.Holders.size() >= KeyElders;
+  plan.Provable = !plan.Holders.empty() && lost < KeyElders && enough;
   return plan;
 }
 
--- a/src/key_memory.h
+++ b/src/key_memory.h
@@ -17,7 +17,7 @@
 /// Hosts that must have been up for the whole window among those that remember a key.
 constexpr std::size_t KeyElders = 2;
 /// Hosts that remember a key at most.
-constexpr std::size_t MaxKeyHolders = 8;
+constexpr std::size_t MaxKeyHolders = 32;
 
 /// Result of claiming a key.
 enum class KeyClaim : std::uint8_t {
@@ -26,6 +26,13 @@
   Full, ///< No room; nothing was remembered.
 };
 
+/// A key with the time until which it is remembered.
+struct RememberedKey {
+  std::uint64_t Key = 0;
+  TimeMs Expires = 0;
+  auto operator<=>(const RememberedKey &) const = default;
+};
+
 /// Keys claimed at one host. A key is never forgotten within its window.
 class KeyMemory {
 public:
@@ -33,23 +40,24 @@
   KeyClaim claim(std::uint64_t key, TimeMs now);
   /// Takes back the claim of a request that is proved not to have run.
   void release(std::uint64_t key);
+  /// Takes a key over from a host that leaves. Keys are taken over beyond the table's size.
+  void takeOver(const RememberedKey &key);
+  /// @returns all keys that are remembered.
+  std::vector<RememberedKey> all() const;
   std::size_t size() const { return Keys.size(); }
 
 private:
-  struct Entry {
-    std::uint64_t Key;
-    TimeMs Expires;
-  };
   std::unordered_map<std::uint64_t, TimeMs> Keys; ///< With the time of expiry.
-  std::deque<Entry> ByAge;
+  std::deque<RememberedKey> ByAge;
 };
 
 /// A host as far as key memory is concerned.
 struct KeyHolder {
   HostID Host;
-  TimeMs Since = 0;       ///< Start of its memory.
-  TimeMs GoneSince = 0;   ///< When it was found gone; 0 while it lives.
-  bool Restarted = false; ///< An earlier process of the host had a memory that is lost.
+  TimeMs Since = 0;        ///< Start of its memory.
+  TimeMs GoneSince = 0;    ///< When it was found gone; 0 while it lives.
+  bool HandedOver = false; ///< It left in good order: all others have its keys.
+  bool Restarted = false;  ///< An earlier process of the host had a memory that is lost.
 };
 
 /// Where a key has to be claimed before its request runs.
--- a/src/mesh_node.cpp
+++ b/src/mesh_node.cpp
@@ -205,6 +205,13 @@
   Hosts.merge(Self, Identity.Host, now);
 }
 
+void MeshNode::leave(bool handedOver, TimeMs now) {
+  Self.State = HostState::Gone;
+  Self.HandedOver = handedOver;
+  ++Self.Sequence;
+  Hosts.merge(Self, Identity.Host, now);
+}
+
 void MeshNode::refresh(TimeMs now) {
   ++Self.Sequence;
   Hosts.merge(Self, Identity.Host, now);
--- a/src/mesh_node.h
+++ b/src/mesh_node.h
@@ -117,6 +117,10 @@
   void announce(HostState state, const ServiceName &service, const VersionLabel &version,
                 std::uint32_t slots, TimeMs now);
 
+  /// Announces that this host is gone for good.
+  /// @param handedOver whether all others of its service have its idempotency keys.
+  void leave(bool handedOver, TimeMs now);
+
   /// Raises the own record's sequence so that others see that the host lives.
   void refresh(TimeMs now);
 
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -75,7 +75,9 @@
   std::string Cause;
 };
 /// Nothing is in flight any more.
-struct Drained {};
+struct Drained {
+  bool KeysHandedOver = false; ///< All other gates of the service have this gate's keys.
+};
 /// Something for the time line.
 struct TrafficNote {
   std::string Kind;
--- a/src/traffic_task.cpp
+++ b/src/traffic_task.cpp
@@ -176,7 +176,7 @@
 void TrafficTask::checkDrained() {
   const bool lingered = wallClockMs() >= DrainUntil;
   if (lingered && Gates->pending() == 0 && Ingress->pending() == 0) {
-    Control.put(Drained{});
+    Gates->handOver([this](bool handedOver) { Control.put(Drained{handedOver}); });
     return;
   }
   DrainTimer.start(DrainCheckPeriod);
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -21,6 +21,7 @@
   to.setVersion(record.Version.str());
   to.setSlots(record.Slots);
   to.setReplaced(record.Replaced);
+  to.setHandedOver(record.HandedOver);
 }
 
 HostRecord readRecord(wire::HostRecord::Reader from) {
@@ -36,6 +37,7 @@
   record.Version = VersionLabel(wireText(from.getVersion()));
   record.Slots = from.getSlots();
   record.Replaced = from.getReplaced();
+  record.HandedOver = from.getHandedOver();
   return record;
 }
 
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -52,13 +52,24 @@
   void add(const std::string &name, TimeMs since) {
     Memories[name] = {};
     const bool restarted = Holders.contains(name) && Holders[name].GoneSince == 0;
-    Holders[name] = {HostID(name), since, 0, restarted};
+    Holders[name] = {HostID(name), since, 0, false, restarted};
   }
   void kill(const std::string &name, TimeMs now) {
     Holders[name].GoneSince = now;
     Memories[name] = {};
   }
 
+  /// A host leaves in good order: all others have its keys.
+  void leave(const std::string &name) {
+    for (const RememberedKey &key : Memories[name].all()) {
+      for (const std::string &other : alive())
+        Memories[other].takeOver(key);
+    }
+    Holders[name].HandedOver = true;
+    Holders[name].GoneSince = Now;
+    Memories[name] = {};
+  }
+
   /// A request with a key arrives at a host that is alive.
   /// @param unreachable a host that does not answer the claim; it is taken for lost.
   void send(const std::string &name, const std::string &key, TimeMs now,
@@ -314,6 +325,8 @@
         model.kill(some, now);
       else if (draw == 1)
         model.add(some, now); // Restarted: its memory is lost.
+      else if (draw == 3 && alive.size() > 2)
+        model.leave(some);
       else if (draw == 2)
         model.add("new" + std::to_string(++added), now);
       else
@@ -341,6 +354,26 @@
   BOOST_TEST(runs == 51);
 }
 
+BOOST_AUTO_TEST_CASE(hosts_that_leave_in_good_order_stop_no_key) {
+  KeyModel model(3);
+  for (int n = 0; n < 20; ++n)
+    model.send("host0", "before" + std::to_string(n), Now);
+  for (const char *name : {"new1", "new2", "new3"})
+    model.add(name, Now + 1);
+  for (const char *name : {"host0", "host1", "host2"})
+    model.leave(name);
+  for (int n = 0; n < 20; ++n) {
+    model.send("new1", "before" + std::to_string(n), Now + 2);
+    model.send("new2", "after" + std::to_string(n), Now + 2);
+  }
+  int runs = 0;
+  for (const auto &[key, n] : model.Runs) {
+    BOOST_TEST(n <= 1);
+    runs += n;
+  }
+  BOOST_TEST(runs == 40);
+}
+
 BOOST_AUTO_TEST_CASE(routes_match_the_longest_prefix_at_segment_boundaries) {
   const SnapshotPtr snapshot =
       snapshotOf(3, {service("a"), service("b"), route("ra", "/a", "a"), route("rb", "/a/b", "b")});
