--- /dev/null
+++ b/src/control_store.cpp
@@ -0,0 +1,209 @@
+/// @file control_store.cpp The floor, the head in the store, and operators' changes.
+#include "control_task.h"
+
+#include "event_util.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace jasmineloom {
+
+namespace {
+
+constexpr DurationMs PublishDelay = 5;
+constexpr DurationMs PollPeriod = 10 * MsPerSecond;
+constexpr std::int64_t RootLeaseSeconds = 30;
+constexpr DurationMs LeasePeriod = 10 * MsPerSecond;
+/// Time after which a starting node serves without an answer on its floor.
+constexpr DurationMs FloorTimeout = 3 * MsPerSecond;
+constexpr DurationMs FloorJitter = 200;
+/// Time after which a node that has found no other is taken for the first of its data centre.
+constexpr DurationMs AloneTime = 1500;
+
+} // namespace
+
+kj::Promise<void> ControlTask::confirmFloor() {
+  auto askParents = [this] {
+    auto promises = kj::heapArrayBuilder<kj::Promise<void>>(Place.Parents.size());
+    for (const HostID &parent : Place.Parents) {
+      const HostRecord *record = Node.hosts().find(parent);
+      const std::string address = record == nullptr ? std::string() : record->RpcAddress;
+      auto asked = Peers.get(address).then([this](std::shared_ptr<PeerConnection> connection) {
+        auto request = connection->Peer.floorRequest();
+        request.setHost(Settings.Identity.Host.str());
+        return request.send().then([this, connection](auto &&response) {
+          Node.config().raiseFloor(response.getVersion());
+        });
+      });
+      promises.add(timer()
+                       .timeoutAfter(FloorTimeout * kj::MILLISECONDS, kj::mv(asked))
+                       .catch_([](kj::Exception &&) {}));
+    }
+    return kj::joinPromises(promises.finish());
+  };
+  auto askStore = [this] {
+    return Store.send(StoreRead{HeadKey}).then([this](StoreAnswer answer) {
+      if (answer.Result != StoreResult::Ok || answer.Entries.empty())
+        return;
+      const absl::StatusOr<Head> head = decodeHead(answer.Entries.front().Value);
+      if (head.ok())
+        Node.config().raiseFloor(head->Version);
+    });
+  };
+  return timer()
+      .afterDelay((AloneTime / 2 + draw(FloorJitter)) * kj::MILLISECONDS)
+      .then(kj::mv(askStore))
+      .then(kj::mv(askParents))
+      .then([this] {
+        FloorConfirmed = true;
+        schedulePublish(PublishDelay);
+      });
+}
+
+kj::Promise<void> ControlTask::storeLoop() {
+  const TimeMs now = wallClockMs();
+  if (Store.calls() > 0 && Store.reachable() != StoreWasReachable) {
+    StoreWasReachable = Store.reachable();
+    note("store", "store",
+         StoreWasReachable ? "answers" : "does not answer; what was accepted stays in force");
+  }
+  // A node that knows no other waits a little before it takes itself for a root.
+  const bool settled = Node.hosts().size() > 1 || now >= Started + AloneTime;
+  if (!Place.Root || !settled)
+    return kj::READY_NOW;
+  if (!WatchOpen) {
+    WatchOpen = true;
+    Store.watch(HeadKey);
+    NextPoll = now;
+  }
+  if (now < NextPoll)
+    return kj::READY_NOW;
+  NextPoll = now + PollPeriod + draw(PollPeriod / 4);
+  return readHead();
+}
+
+kj::Promise<void> ControlTask::leaseLoop() {
+  kj::Promise<void> renewed = kj::READY_NOW;
+  if (Place.Root && !Draining) {
+    const auto grant = [this] {
+      return Store.send(StoreGrantLease{RootLeaseSeconds}).then([this](StoreAnswer granted) {
+        RootLease = granted.Lease;
+        if (RootLease == 0)
+          return kj::Promise<void>(kj::READY_NOW);
+        const std::string key = absl::StrCat(RootPrefix, Settings.Identity.DataCentre.str(), "/",
+                                             Settings.Identity.Host.str());
+        return Store.send(StorePut{key, Settings.RpcAddress, RootLease}).ignoreResult();
+      });
+    };
+    if (RootLease == 0) {
+      renewed = grant();
+    } else {
+      renewed = Store.send(StoreKeepAlive{RootLease}).then([this](StoreAnswer answer) {
+        if (answer.Result == StoreResult::Ok && answer.Lease == 0)
+          RootLease = 0;
+      });
+    }
+  }
+  return renewed.then([this] {
+    return timer()
+        .afterDelay((LeasePeriod + draw(LeasePeriod / 4)) * kj::MILLISECONDS)
+        .then([this] { return leaseLoop(); });
+  });
+}
+
+kj::Promise<void> ControlTask::readHead() {
+  if (Reading) {
+    ReadAgain = true;
+    return kj::READY_NOW;
+  }
+  Reading = true;
+  ReadAgain = false;
+  return Store.send(StoreRead{HeadKey})
+      .then([this](StoreAnswer answer) -> kj::Promise<void> {
+        if (answer.Result != StoreResult::Ok || answer.Entries.empty())
+          return kj::READY_NOW;
+        absl::StatusOr<Head> head = decodeHead(answer.Entries.front().Value);
+        if (!head.ok()) {
+          note("config", "head", std::string(head.status().message()));
+          return kj::READY_NOW;
+        }
+        if (head->Version <= Node.config().heldVersion())
+          return kj::READY_NOW;
+        return readSections(*std::move(head));
+      })
+      .then([this]() -> kj::Promise<void> {
+        Reading = false;
+        return ReadAgain ? readHead() : kj::Promise<void>(kj::READY_NOW);
+      });
+}
+
+kj::Promise<void> ControlTask::readSections(Head head) {
+  const SnapshotPtr held = Node.config().held();
+  auto read = std::make_shared<std::vector<ConfigObjectPtr>>();
+  const std::vector<SectionRef> missing = missingSections(head.Sections, held.get());
+  auto promises = kj::heapArrayBuilder<kj::Promise<void>>(missing.size());
+  for (const SectionRef &section : missing) {
+    promises.add(
+        Store.send(StoreRead{SectionPrefix + section.Hash}).then([read](StoreAnswer answer) {
+          if (answer.Result != StoreResult::Ok || answer.Entries.empty())
+            return;
+          auto objects = decodeSection(answer.Entries.front().Value);
+          if (objects.ok())
+            read->insert(read->end(), objects->begin(), objects->end());
+        }));
+  }
+  return kj::joinPromises(promises.finish()).then([this, held, read, head = kj::mv(head)] {
+    const absl::StatusOr<SnapshotPtr> snapshot = assembleSnapshot(head, held.get(), *read);
+    if (!snapshot.ok()) {
+      note("config", absl::StrCat("version ", head.Version),
+           std::string(snapshot.status().message()));
+      return;
+    }
+    const SnapshotPtr now = Node.config().held();
+    const OfferResult result = Node.offerConfig(diffSnapshots(now.get(), **snapshot));
+    ExchangeEffect effect;
+    effect.ConfigApplied = result == OfferResult::Applied;
+    effect.ConfigRefused = result == OfferResult::Refused;
+    changed(effect);
+  });
+}
+
+kj::Promise<void> ControlTask::stepChange(std::shared_ptr<ChangeCommand> command, ChangeStep step,
+                                          std::shared_ptr<ChangeOutcome> outcome) {
+  if (auto *done = std::get_if<ChangeOutcome>(&step); done != nullptr) {
+    *outcome = std::move(*done);
+    return kj::READY_NOW;
+  }
+  const auto &request = std::get<StoreRequest>(step);
+  return Store.send(request).then([this, command, outcome](StoreAnswer answer) {
+    return stepChange(command, command->answered(answer), outcome);
+  });
+}
+
+kj::Promise<ChangeOutcome> ControlTask::runChange(ChangeRequest request,
+                                                  std::vector<std::string> *changes) {
+  const std::string operation = request.Operation.str();
+  const std::string summary = request.Summary;
+  const bool dryRun = request.DryRun;
+  auto command =
+      std::make_shared<ChangeCommand>(std::move(request), Node.config().held(), wallClockMs());
+  auto outcome = std::make_shared<ChangeOutcome>();
+  return stepChange(command, command->start(), outcome)
+      .then([this, command, outcome, changes, operation, summary, dryRun] {
+        if (changes != nullptr)
+          *changes = command->changes();
+        if (dryRun)
+          return *outcome;
+        note("change", absl::StrCat("version ", outcome->Version),
+             absl::StrCat(summary, " (", operation, "): ", outcome->Message));
+        if (outcome->Status == ChangeStatus::Accepted && outcome->Snapshot) {
+          ExchangeEffect effect;
+          const SnapshotPtr held = Node.config().held();
+          effect.ConfigApplied = Node.offerConfig(diffSnapshots(held.get(), *outcome->Snapshot)) ==
+                                 OfferResult::Applied;
+          changed(effect);
+        }
+        return *outcome;
+      });
+}
+
+} // namespace jasmineloom
