Test that a suspect request runs alone

Cause: a mutant that lets a suspect request run beside others survived the whole traffic test: there the innocents were cleared again before they were counted twice. The new case fails with the mutant (4 checks) and passes without it.

--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -276,6 +276,16 @@
   BOOST_TEST((gates[0].admit(request(++ticket, 1, 1), Now).Result == Admission::Run));
 }
 
+BOOST_AUTO_TEST_CASE(a_suspect_request_runs_alone) {
+  Gate gate = openGate(12);
+  gate.crashes().note(9, Now);
+  BOOST_TEST((gate.admit(request(1), Now).Result == Admission::Run));
+  BOOST_TEST((gate.admit(request(2, 1, 9), Now).Result == Admission::Queued));
+  BOOST_TEST((gate.finish(Now).Run == std::vector<GateTicket>{2}));
+  BOOST_TEST((gate.admit(request(3), Now).Result == Admission::Queued));
+  BOOST_TEST((gate.finish(Now).Run == std::vector<GateTicket>{3}));
+}
+
 BOOST_AUTO_TEST_CASE(a_false_match_lapses) {
   CrashLedger ledger;
   ledger.note(5, Now);
