Send crash notices through otherGates; keep one copy of shared constants

The crash notice had its own copy of the loop that otherGates() has since the key hand-over; the header of the cluster's secret stood in gate and ingress; the split of the control task had copied two constants. No behaviour changed.

--- a/src/control_store.cpp
+++ b/src/control_store.cpp
@@ -9,15 +9,12 @@
 
 namespace {
 
-constexpr DurationMs PublishDelay = 5;
 constexpr DurationMs PollPeriod = 10 * MsPerSecond;
 constexpr std::int64_t RootLeaseSeconds = 30;
 constexpr DurationMs LeasePeriod = 10 * MsPerSecond;
 /// Time after which a starting node serves without an answer on its floor.
 constexpr DurationMs FloorTimeout = 3 * MsPerSecond;
 constexpr DurationMs FloorJitter = 200;
-/// Time after which a node that has found no other is taken for the first of its data centre.
-constexpr DurationMs AloneTime = 1500;
 
 } // namespace
 
--- a/src/control_task.cpp
+++ b/src/control_task.cpp
@@ -18,13 +18,10 @@
 namespace {
 
 constexpr DurationMs TickPeriod = 250;
-constexpr DurationMs PublishDelay = 5;
 /// Changes of hosts alone are published together: gates and ejections cover the time between.
 constexpr DurationMs TablePublishDelay = 100;
 constexpr DurationMs AuditPeriod = 1 * MsPerSecond;
 constexpr DurationMs WatchRetryTime = 1 * MsPerSecond;
-/// Time after which a node that has found no other is taken for the first of its data centre.
-constexpr DurationMs AloneTime = 1500;
 constexpr DurationMs DrainAnnounceTime = 100;
 
 } // namespace
--- a/src/control_task.h
+++ b/src/control_task.h
@@ -29,6 +29,11 @@
 
 class LinkTask;
 
+/// Time after which a changed configuration or rollout is published to the traffic task.
+constexpr DurationMs PublishDelay = 5;
+/// Time after which a node that has found no other is taken for the first of its data centre.
+constexpr DurationMs AloneTime = 1500;
+
 /// Owns a KJ loop, the links to other nodes and the operators' calls.
 class ControlTask {
 public:
--- a/src/gate_task.cpp
+++ b/src/gate_task.cpp
@@ -30,7 +30,6 @@
 constexpr std::size_t KeysPerCall = 10000;
 constexpr DurationMs HandOverTimeout = 2 * MsPerSecond;
 constexpr int StatusLeaving = 503;
-constexpr const char *SecretHeader = "x-jasmine-secret";
 constexpr int StatusNew = 200;
 constexpr int StatusUsed = 409;
 constexpr int StatusFull = 507;
@@ -112,7 +111,7 @@
 void GateTask::beginDrain() { Admission.setDraining(true); }
 
 bool GateTask::trusted(const HttpRequest &request) const {
-  return sameSecret(headerOr(request, SecretHeader, ""), Settings.Secret);
+  return sameSecret(headerOr(request, header::Secret, ""), Settings.Secret);
 }
 
 void GateTask::take(HttpRequest request) {
@@ -265,7 +264,7 @@
 HttpCall GateTask::peerCall(const std::string &path) const {
   HttpCall call;
   call.Path = path;
-  call.Headers = {{SecretHeader, Settings.Secret}};
+  call.Headers = {{header::Secret, Settings.Secret}};
   call.Timeout = ClaimTimeout;
   return call;
 }
@@ -436,16 +435,9 @@
   Admission.crashes().note(job.Asked.Fingerprint, now);
   Control.put(TrafficNote{"upstream-cut", Admission.upstream().Service.str(),
                           absl::StrCat("request ", job.Request.Path, " got no whole answer")});
-  if (!View)
-    return;
-  for (const HostRecord &record : View->Hosts) {
-    const bool peer = record.Service == job.Asked.Service && record.Host != Settings.Host &&
-                      record.State != HostState::Gone;
-    if (!peer)
-      continue;
-    Pool.call(record.GateAddress, peerCall(absl::StrCat(CrashPath, job.Asked.Fingerprint)),
+  for (const std::string &gate : otherGates())
+    Pool.call(gate, peerCall(absl::StrCat(CrashPath, job.Asked.Fingerprint)),
               [](const HttpResult &) {});
-  }
 }
 
 void GateTask::noteEvidence(const Job &job, const HttpResult &result) {
--- a/src/ingress_task.cpp
+++ b/src/ingress_task.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr const char *SecretHeader = "x-jasmine-secret";
 constexpr int StatusUnavailable = 503;
 constexpr int StatusBadGateway = 502;
 constexpr int StatusGatewayTimeout = 504;
@@ -147,7 +146,7 @@
   call.Headers.push_back({header::Route, job.Route.Name.str()});
   call.Headers.push_back({header::Worth, absl::StrCat(job.Route.Worth)});
   call.Headers.push_back({header::DeadlineMs, absl::StrCat(call.Timeout)});
-  call.Headers.push_back({SecretHeader, Settings.Secret});
+  call.Headers.push_back({header::Secret, Settings.Secret});
   if (!job.Route.Idempotent)
     call.Headers.push_back({header::Once, "1"});
   if (job.UpstreamCuts > 0)
--- a/src/traffic_type.h
+++ b/src/traffic_type.h
@@ -51,6 +51,7 @@
 constexpr const char *Key = "idempotency-key";
 constexpr const char *DeadlineMs = "x-jasmine-deadline-ms";
 constexpr const char *Host = "x-jasmine-host";
+constexpr const char *Secret = "x-jasmine-secret"; ///< Of the cluster, on calls between nodes.
 } // namespace header
 
 } // namespace jasmineloom
