Take HTTP by evhttp on both sides; keep retries inside the shared budget

The listeners are evhttp's now; libevhtp is gone. BUDGET: retry tokens were kept up to 50 a node and service, 750 over 15 nodes, where 62 are allowed. LOST: requests were taken until 0.1 s before the end of a stopping process; from half of the stop time on they are refused at once, as not run.

Conclusion: the gate also tells callers which upstream fails more than its siblings; placement leaves it.

--- a/src/gate_base.cpp
+++ b/src/gate_base.cpp
@@ -42,8 +42,10 @@
 void Gate::setUpstream(const LocalUpstream &upstream) {
   if (upstream == Upstream)
     return;
-  if (upstream.ID != Upstream.ID)
+  if (upstream.ID != Upstream.ID) {
     MeanServiceMs = 0;
+    FailureShare = 0;
+  }
   Upstream = upstream;
   TakenBack = false;
 }
@@ -97,6 +99,15 @@
       MeanServiceMs == 0 ? sample : MeanServiceMs + ServiceSmoothing * (sample - MeanServiceMs);
 }
 
+void Gate::noteResult(bool failed) {
+  FailureShare += FailureSmoothing * ((failed ? 1.0 : 0.0) - FailureShare);
+}
+
+std::uint32_t Gate::failing() const {
+  constexpr double PerMille = 1000;
+  return static_cast<std::uint32_t>(FailureShare * PerMille);
+}
+
 std::vector<GateTicket> Gate::flush() {
   std::vector<GateTicket> tickets;
   for (const GateRequest &it : Queue)
--- a/src/gate_base.h
+++ b/src/gate_base.h
@@ -63,6 +63,8 @@
 
 /// Share of a new sample in the mean time of a request.
 constexpr double ServiceSmoothing = 0.1;
+/// Share of a new sample in the share of failures: a dozen requests show a change.
+constexpr double FailureSmoothing = 0.12;
 /// Part of the mean service time that a request must have left when its turn comes: with less it
 /// would most likely be broken off.
 constexpr double MinServiceShare = 0.5;
@@ -119,6 +121,10 @@
   void noteServed(DurationMs time);
   /// @returns the mean time of a request at the upstream, ms; 0: none has been served.
   double serviceMs() const { return MeanServiceMs; }
+  /// Notes whether the upstream answered a request without a failure of its own.
+  void noteResult(bool failed);
+  /// @returns recent requests that the upstream failed or turned away, per mille.
+  std::uint32_t failing() const;
   /// @returns the time for which a new request of a worth would wait for a slot, ms.
   double expectedWait(std::uint32_t worth) const;
 
@@ -146,6 +152,7 @@
   bool TakenBack = false;
   std::uint32_t InFlight = 0;
   double MeanServiceMs = 0;
+  double FailureShare = 0;
   std::uint64_t SuspectRunning = 0; ///< Fingerprint of the suspect that runs.
   std::vector<GateRequest> Queue;   ///< In the order of arrival.
   CrashLedger Crashes;
--- a/src/gate_task.cpp
+++ b/src/gate_task.cpp
@@ -445,6 +445,7 @@
       return;
     }
     noteEvidence(job, result);
+    Admission.noteResult(true);
     if (!result.TimedOut)
       noteCut(job);
     refuse(job, Outcome::Unknown, result.TimedOut ? Refusal::Deadline : Refusal::UpstreamCut);
@@ -452,16 +453,19 @@
   }
   switch (classifyAnswer(Settings.Http, result, job.Identity)) {
   case AnswerKind::NotRun:
+    Admission.noteResult(true);
     releaseKey(job);
     refuse(job, Outcome::NotRun, Refusal::NotTaken);
     return;
   case AnswerKind::Misplaced:
     noteEvidence(job, result);
+    Admission.noteResult(true);
     refuse(job, Outcome::Unknown, Refusal::BadAnswer);
     return;
   case AnswerKind::Own:
     noteEvidence(job, result);
     Admission.noteServed((steadyClockUs() - job.StartedUs) / 1000);
+    Admission.noteResult(result.Status >= FirstServerError);
     Admission.crashes().clear(job.Asked.Fingerprint);
     answer(job, std::move(result));
     return;
@@ -469,8 +473,8 @@
 }
 
 std::string GateTask::loadText() const {
-  return absl::StrFormat("%d,%d,%.0f", Admission.inFlight(), Admission.queued(),
-                         Admission.serviceMs());
+  return absl::StrFormat("%d,%d,%.0f,%d", Admission.inFlight(), Admission.queued(),
+                         Admission.serviceMs(), Admission.failing());
 }
 
 void GateTask::answer(Job &job, HttpResult result) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,9 +1,12 @@
-/// @file http_server.cpp An evhtp listener that hands whole requests over and takes late replies.
+/// @file http_server.cpp An evhttp listener that hands whole requests over and takes late replies.
 #include "http_server.h"
 
 #include "http_framing.h"
 
+#include <absl/strings/match.h>
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -13,41 +16,42 @@
 namespace {
 
 constexpr DurationMs GoneCheckPeriod = 50;
-constexpr int Backlog = 1024;
+constexpr int StatusUnavailable = 503;
+constexpr ev_uint16_t AllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_POST |
+                                   EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+                                   EVHTTP_REQ_PATCH;
 
-evhttp_cmd_type methodOf(htp_method method) {
+const char *methodName(evhttp_cmd_type method) {
   switch (method) {
-  case htp_method_GET:
-    return EVHTTP_REQ_GET;
-  case htp_method_HEAD:
-    return EVHTTP_REQ_HEAD;
-  case htp_method_POST:
-    return EVHTTP_REQ_POST;
-  case htp_method_PUT:
-    return EVHTTP_REQ_PUT;
-  case htp_method_DELETE:
-    return EVHTTP_REQ_DELETE;
-  case htp_method_OPTIONS:
-    return EVHTTP_REQ_OPTIONS;
-  case htp_method_PATCH:
-    return EVHTTP_REQ_PATCH;
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_HEAD:
+    return "HEAD";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  case EVHTTP_REQ_OPTIONS:
+    return "OPTIONS";
+  case EVHTTP_REQ_PATCH:
+    return "PATCH";
   default:
-    return EVHTTP_REQ_TRACE;
+    return "";
   }
 }
 
-std::string pathOf(const evhtp_request_t *request) {
-  std::string path = request->uri->path->full == nullptr ? "/" : request->uri->path->full;
-  if (request->uri->query_raw != nullptr) {
-    path += '?';
-    path += reinterpret_cast<const char *>(request->uri->query_raw);
-  }
-  return path;
+HeaderFields fieldsOf(evhttp_request *request) {
+  HeaderFields fields;
+  const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval *it = headers->tqh_first; it != nullptr; it = it->next.tqe_next)
+    fields.push_back({it->key, it->value});
+  return fields;
 }
 
-/// @returns a hook in the library's general form; the library calls it in its true form.
-template <typename FunctionT> evhtp_hook asHook(FunctionT *hook) {
-  return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(hook));
+evutil_socket_t socketOf(evhttp_connection *conn) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(conn));
 }
 
 /// @returns whether the peer of a socket has closed its side.
@@ -63,111 +67,82 @@
 
 HttpServer::HttpServer(event_base *base, const HttpLimits &limits, RequestHandler onRequest,
                        GoneHandler onGone)
-    : Htp(evhtp_new(base, nullptr)), Limits(limits), OnRequest(std::move(onRequest)),
+    : Http(evhttp_new(base)), Limits(limits), OnRequest(std::move(onRequest)),
       OnGone(std::move(onGone)), GoneTimer(base, [this] { lookForGone(); }) {
-  evhtp_enable_flag(Htp, EVHTP_FLAG_ENABLE_NODELAY);
-  evhtp_set_max_body_size(Htp, limits.MaxBody);
-  const timeval tv = toTimeval(limits.ReadTimeout);
-  evhtp_set_timeouts(Htp, &tv, &tv);
-  evhtp_set_gencb(Htp, onRequestTaken, this);
-  evhtp_set_post_accept_cb(Htp, onAccept, this);
+  evhttp_set_allowed_methods(Http.get(), AllMethods);
+  evhttp_set_max_headers_size(Http.get(), static_cast<ev_ssize_t>(limits.MaxHeaderBytes));
+  evhttp_set_max_body_size(Http.get(), static_cast<ev_ssize_t>(limits.MaxBody));
+  evhttp_set_timeout(Http.get(), static_cast<int>(limits.ReadTimeout / MsPerSecond));
+  evhttp_set_default_content_type(Http.get(), nullptr);
+  evhttp_set_gencb(Http.get(), HttpServer::onRequest, this);
 }
 
 HttpServer::~HttpServer() {
-  Ending = true;
-  if (Htp->server != nullptr)
-    evhtp_unbind_socket(Htp);
-  evhtp_free(Htp);
+  for (const auto &[conn, id] : Current)
+    evhttp_connection_set_closecb(conn, nullptr, nullptr);
 }
 
 bool HttpServer::bind(const std::string &address, std::uint16_t port) {
-  return evhtp_bind_socket(Htp, address.c_str(), port, Backlog) == 0;
-}
-
-void HttpServer::stopAccepting() { evhtp_unbind_socket(Htp); }
-
-evhtp_res HttpServer::onAccept(evhtp_connection_t *conn, void *arg) {
-  auto *server = static_cast<HttpServer *>(arg);
-  if (server->Connections >= server->Limits.MaxConnections)
-    return EVHTP_RES_ERROR;
-  ++server->Connections;
-  const int on = 1;
-  setsockopt(conn->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini, asHook(onConnectionEnd), server);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_request_fini, asHook(onRequestDropped), server);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_headers, asHook(onHeaders), server);
-  return EVHTP_RES_OK;
+  evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(Http.get(), address.c_str(), port);
+  if (bound != nullptr)
+    Listeners.push_back(bound);
+  return bound != nullptr;
 }
 
-evhtp_res HttpServer::onConnectionEnd(evhtp_connection_t *conn, void *arg) {
-  static_cast<void>(conn);
-  auto *server = static_cast<HttpServer *>(arg);
-  if (!server->Ending)
-    --server->Connections;
-  return EVHTP_RES_OK;
+void HttpServer::stopAccepting() {
+  for (evhttp_bound_socket *bound : Listeners)
+    evhttp_del_accept_socket(Http.get(), bound);
+  Listeners.clear();
 }
 
-evhtp_res HttpServer::onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *arg) {
-  auto *server = static_cast<HttpServer *>(arg);
-  // The library reuses the address of a request that it has dropped.
-  server->Paths.erase(request);
-  if (evhtp_request_get_method(request) == htp_method_POST)
-    server->Paths[request] = pathOf(request);
-  std::size_t size = 0;
-  HeaderFields fields;
-  for (const evhtp_kv_t *it = headers->tqh_first; it != nullptr; it = it->next.tqe_next) {
-    size += it->klen + it->vlen + 4;
-    fields.push_back({std::string(it->key, it->klen), std::string(it->val, it->vlen)});
-  }
-  if (size > server->Limits.MaxHeaderBytes)
-    return EVHTP_RES_BADREQ;
-  const evhtp_connection_t *conn = evhtp_request_get_connection(request);
-  const bool atLeast11 =
-      htparser_get_major(conn->parser) > 1 || htparser_get_minor(conn->parser) >= 1;
-  const int status = checkFraming(fields, atLeast11);
-  return status == FramingOk ? EVHTP_RES_OK : static_cast<evhtp_res>(status);
+void HttpServer::onRequest(evhttp_request *request, void *arg) {
+  static_cast<HttpServer *>(arg)->take(request);
 }
 
-evhtp_res HttpServer::onRequestDropped(evhtp_request_t *request, void *arg) {
+void HttpServer::onConnectionEnd(evhttp_connection *conn, void *arg) {
   auto *server = static_cast<HttpServer *>(arg);
-  if (!server->Ending)
-    server->Paths.erase(request);
-  return EVHTP_RES_OK;
-}
-
-evhtp_res HttpServer::onRequestEnd(evhtp_request_t *request, void *arg) {
-  static_cast<void>(request);
-  auto *waiting = static_cast<Waiting *>(arg);
-  HttpServer *server = waiting->Server;
-  const RequestID id = waiting->ID;
-  if (server->Pending.erase(id) != 0 && !server->Ending)
+  const auto it = server->Current.find(conn);
+  if (it == server->Current.end())
+    return;
+  const RequestID id = it->second;
+  server->Current.erase(it);
+  if (server->Pending.erase(id) != 0)
     server->OnGone(id);
-  return EVHTP_RES_OK;
 }
 
-void HttpServer::onRequestTaken(evhtp_request_t *request, void *arg) {
-  static_cast<HttpServer *>(arg)->take(request);
+void HttpServer::refuse(evhttp_request *request, int status) {
+  evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+  evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
-void HttpServer::take(evhtp_request_t *request) {
+void HttpServer::take(evhttp_request *request) {
+  evhttp_connection *conn = evhttp_request_get_connection(request);
+  const bool known = Current.contains(conn);
+  if (!known && Current.size() >= Limits.MaxConnections) {
+    refuse(request, StatusUnavailable);
+    return;
+  }
   HttpRequest taken;
+  taken.Headers = fieldsOf(request);
+  const bool atLeast11 = request->major > 1 || request->minor >= 1;
+  if (const int status = checkFraming(taken.Headers, atLeast11); status != FramingOk) {
+    refuse(request, status);
+    return;
+  }
+  if (!known) {
+    const int on = 1;
+    setsockopt(socketOf(conn), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    evhttp_connection_set_closecb(conn, onConnectionEnd, this);
+  }
   taken.ID = ++LastID;
-  taken.Method = methodOf(evhtp_request_get_method(request));
-  taken.MethodName = htparser_get_methodstr_m(evhtp_request_get_method(request));
-  const auto path = Paths.find(request);
-  taken.Path = path == Paths.end() ? pathOf(request) : path->second;
-  if (path != Paths.end())
-    Paths.erase(path);
-  for (const evhtp_kv_t *it = request->headers_in->tqh_first; it != nullptr; it = it->next.tqe_next)
-    taken.Headers.push_back({it->key, it->val});
+  taken.Method = evhttp_request_get_command(request);
+  taken.MethodName = methodName(taken.Method);
+  taken.Path = evhttp_request_get_uri(request);
   taken.Body = makeBuffer();
-  evbuffer_add_buffer(taken.Body.get(), request->buffer_in);
-  auto waiting = std::make_unique<Waiting>(Waiting{this, taken.ID, request});
-  evhtp_request_set_hook(request, evhtp_hook_on_request_fini, asHook(onRequestEnd), waiting.get());
-  Pending.emplace(taken.ID, std::move(waiting));
+  evbuffer_add_buffer(taken.Body.get(), evhttp_request_get_input_buffer(request));
+  Current[conn] = taken.ID;
+  Pending.emplace(taken.ID, std::make_unique<Waiting>(Waiting{this, taken.ID, request}));
   GoneTimer.ensure(GoneCheckPeriod);
-  // Keeps a pipelined request unread until this one is answered.
-  evhtp_request_pause(request);
   OnRequest(std::move(taken));
 }
 
@@ -175,37 +150,32 @@
   const auto it = Pending.find(id);
   if (it == Pending.end())
     return;
-  evhtp_request_t *request = it->second->Request;
-  const std::unique_ptr<Waiting> ended = std::move(it->second);
+  evhttp_request *request = it->second->Request;
   Pending.erase(it);
-  evhtp_request_unset_hook(request, evhtp_hook_on_request_fini);
+  Current[evhttp_request_get_connection(request)] = 0;
+  evkeyvalq *headers = evhttp_request_get_output_headers(request);
   for (const HeaderField &field : reply.Headers)
-    evhtp_headers_add_header(request->headers_out,
-                             evhtp_header_new(field.Name.c_str(), field.Value.c_str(), 1, 1));
+    evhttp_add_header(headers, field.Name.c_str(), field.Value.c_str());
   if (Closing)
-    evhtp_request_set_keepalive(request, 0);
-  if (reply.Body)
-    evbuffer_add_buffer(request->buffer_out, reply.Body.get());
-  evhtp_send_reply(request, static_cast<evhtp_res>(reply.Status));
-  evhtp_request_resume(request);
+    evhttp_add_header(headers, "Connection", "close");
+  evhttp_send_reply(request, reply.Status, nullptr, reply.Body.get());
 }
 
 void HttpServer::cut(RequestID id) {
   const auto it = Pending.find(id);
   if (it == Pending.end())
     return;
-  evhtp_request_t *request = it->second->Request;
-  const std::unique_ptr<Waiting> ended = std::move(it->second);
+  evhttp_connection *conn = evhttp_request_get_connection(it->second->Request);
   Pending.erase(it);
-  evhtp_request_unset_hook(request, evhtp_hook_on_request_fini);
-  evhtp_connection_free(evhtp_request_get_connection(request));
+  Current[conn] = 0;
+  evhttp_connection_free(conn);
 }
 
 void HttpServer::lookForGone() {
   std::vector<RequestID> gone;
   for (const auto &[id, waiting] : Pending) {
-    const evhtp_connection_t *conn = evhtp_request_get_connection(waiting->Request);
-    if (conn != nullptr && peerClosed(conn->sock))
+    evhttp_connection *conn = evhttp_request_get_connection(waiting->Request);
+    if (conn != nullptr && peerClosed(socketOf(conn)))
       gone.push_back(id);
   }
   for (const RequestID id : gone) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -1,10 +1,10 @@
-/// @file http_server.h An evhtp listener that hands whole requests over and takes late replies.
+/// @file http_server.h An evhttp listener that hands whole requests over and takes late replies.
 #pragma once
 
 #include "event_util.h"
 #include "http_pool.h"
 
-#include <evhtp.h>
+#include <event2/http.h>
 
 #include <functional>
 #include <memory>
@@ -71,29 +71,29 @@
   struct Waiting {
     HttpServer *Server = nullptr;
     RequestID ID = 0;
-    evhtp_request_t *Request = nullptr;
+    evhttp_request *Request = nullptr;
+  };
+  struct HttpDeleter {
+    void operator()(evhttp *http) const { evhttp_free(http); }
   };
 
-  void take(evhtp_request_t *request);
+  void take(evhttp_request *request);
   void lookForGone();
-  static void onRequestTaken(evhtp_request_t *request, void *arg);
-  static evhtp_res onRequestDropped(evhtp_request_t *request, void *arg);
-  static evhtp_res onRequestEnd(evhtp_request_t *request, void *arg);
-  static evhtp_res onAccept(evhtp_connection_t *conn, void *arg);
-  static evhtp_res onConnectionEnd(evhtp_connection_t *conn, void *arg);
-  static evhtp_res onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *arg);
-
-  evhtp_t *Htp;
+  /// Answers a request that is not handed over and closes its connection.
+  static void refuse(evhttp_request *request, int status);
+  static void onRequest(evhttp_request *request, void *arg);
+  static void onConnectionEnd(evhttp_connection *conn, void *arg);
+
+  std::unique_ptr<evhttp, HttpDeleter> Http;
   HttpLimits Limits;
   RequestHandler OnRequest;
   GoneHandler OnGone;
   RequestID LastID = 0;
-  std::size_t Connections = 0;
-  bool Ending = false;
   bool Closing = false; ///< Answers close their connections.
+  std::vector<evhttp_bound_socket *> Listeners;
   std::unordered_map<RequestID, std::unique_ptr<Waiting>> Pending;
-  /// Paths of requests whose body is still coming: the library replaces the query by a form's body.
-  std::unordered_map<const evhtp_request_t *, std::string> Paths;
+  /// The request that each connection waits for; 0: none. Requests of one connection come in turn.
+  std::unordered_map<evhttp_connection *, RequestID> Current;
   Timer GoneTimer;
 };
 
--- a/src/ingress_task.cpp
+++ b/src/ingress_task.cpp
@@ -44,9 +44,10 @@
 std::optional<LoadReport> loadOf(const HeaderFields &fields) {
   const std::vector<std::string> parts = absl::StrSplit(headerOr(fields, header::Load), ',');
   LoadReport report;
-  const bool whole = parts.size() == 3 && absl::SimpleAtoi(parts[0], &report.Running) &&
+  const bool whole = parts.size() == 4 && absl::SimpleAtoi(parts[0], &report.Running) &&
                      absl::SimpleAtoi(parts[1], &report.Queued) &&
-                     absl::SimpleAtoi(parts[2], &report.ServiceMs);
+                     absl::SimpleAtoi(parts[2], &report.ServiceMs) &&
+                     absl::SimpleAtoi(parts[3], &report.Failing);
   return whole ? std::optional(report) : std::nullopt;
 }
 
@@ -155,7 +156,10 @@
 
 void IngressTask::stopAccepting() { Server.stopAccepting(); }
 
-void IngressTask::closeWithAnswers() { Server.closeWithAnswers(); }
+void IngressTask::beginClose() {
+  Closing = true;
+  Server.closeWithAnswers();
+}
 
 RetryBudget &IngressTask::budgetOf(const ServiceName &service) {
   return Budgets.try_emplace(service, Settings.RetryTokens).first->second;
@@ -184,8 +188,8 @@
   }
   job.Route = *route;
   job.Service = chooseService(*route, job.Draw >> SplitDrawShift);
-  if (full) {
-    refuse(job, Outcome::NotRun, Refusal::Overloaded);
+  if (full || Closing) {
+    refuse(job, Outcome::NotRun, Closing ? Refusal::Draining : Refusal::Overloaded);
     return;
   }
   DurationMs allowed = route->Deadline;
--- a/src/ingress_task.h
+++ b/src/ingress_task.h
@@ -26,8 +26,8 @@
   bool listen();
   void setView(RoutingViewPtr view, TimeMs now);
   void stopAccepting();
-  /// Closes each connection with its next answer.
-  void closeWithAnswers();
+  /// Refuses new requests from now on and closes connections with their answers.
+  void beginClose();
   /// @returns when the last request came, on the steady clock.
   TimeMs lastTaken() const { return LastTaken; }
   /// @returns requests that have not been answered.
@@ -62,6 +62,7 @@
   std::mt19937_64 Random;
   RequestLog Log;
   TimeMs LastTaken = 0;
+  bool Closing = false; ///< The process is about to end.
   std::map<RequestID, std::unique_ptr<Job>> Jobs;
 };
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -53,6 +53,25 @@
          (endpoint.Local ? 0 : RemotePenaltyMs);
 }
 
+/// Failures per mille by which an upstream may be worse than the best one before it is left out.
+constexpr std::uint32_t FailingMargin = 150;
+
+/// Leaves out the upstreams that fail clearly more than the best one. What fails everywhere says
+/// nothing of one upstream, and at least half of the endpoints stay.
+void dropFailing(std::vector<const Endpoint *> &endpoints, const EndpointLedger &ledger,
+                 TimeMs now) {
+  std::vector<const Endpoint *> sound;
+  std::uint32_t best = FullShare;
+  for (const Endpoint *endpoint : endpoints)
+    best = std::min(best, ledger.failing(endpoint->Host, now));
+  for (const Endpoint *endpoint : endpoints) {
+    if (ledger.failing(endpoint->Host, now) <= best + FailingMargin)
+      sound.push_back(endpoint);
+  }
+  if (sound.size() * 2 >= endpoints.size())
+    endpoints = std::move(sound);
+}
+
 bool hasRoom(const Endpoint &endpoint, const EndpointLedger &ledger, TimeMs now) {
   return ledger.occupancy(endpoint.Host, now) < endpoint.Slots;
 }
@@ -78,6 +97,7 @@
     if (hasRoom(endpoint, ledger, now))
       free.push_back(&endpoint);
   }
+  dropFailing(free, ledger, now);
   if (!free.empty())
     return free;
   return healthy.empty() ? any : healthy;
@@ -200,6 +220,13 @@
   return it == Entries.end() ? 0 : it->second.Report.ServiceMs;
 }
 
+std::uint32_t EndpointLedger::failing(const HostID &host, TimeMs now) const {
+  const auto it = Entries.find(host.str());
+  if (it == Entries.end() || now >= it->second.ReportedAt + ReportLife)
+    return 0;
+  return it->second.Report.Failing;
+}
+
 TimeMs EndpointLedger::seenSince(const HostID &host) const {
   const auto it = Entries.find(host.str());
   return it == Entries.end() ? 0 : it->second.SeenSince;
--- a/src/placement.h
+++ b/src/placement.h
@@ -23,6 +23,7 @@
   std::uint32_t Running = 0;
   std::uint32_t Queued = 0;
   std::uint32_t ServiceMs = 0; ///< Recent mean time of a request at the upstream.
+  std::uint32_t Failing = 0;   ///< Recent requests that it failed or turned away, per mille.
   auto operator<=>(const LoadReport &) const = default;
 };
 
@@ -45,6 +46,8 @@
   std::uint32_t occupancy(const HostID &host, TimeMs now) const;
   /// @returns the host's mean service time in ms; 0: not known.
   std::uint32_t serviceMs(const HostID &host) const;
+  /// @returns the share of requests that the host's upstream has failed lately, per mille.
+  std::uint32_t failing(const HostID &host, TimeMs now) const;
   /// @returns when the host's present upstream was first seen; 0: with the first view, or never.
   TimeMs seenSince(const HostID &host) const;
 
--- a/src/retry_rule.cpp
+++ b/src/retry_rule.cpp
@@ -6,11 +6,12 @@
 namespace jasmineloom {
 
 namespace {
-constexpr double RetryShare = 0.1;
-constexpr double MaxRetryTokens = 50;
+/// Retries for each fresh request. Repeated work repeats its calls, so that a service deep down
+/// sees twice this share; operators allow a fifth.
+constexpr double RetryShare = 0.08;
 } // namespace
 
-void RetryBudget::noteFresh() { Tokens = std::min(MaxRetryTokens, Tokens + RetryShare); }
+void RetryBudget::noteFresh() { Tokens = std::min(MaxTokens, Tokens + RetryShare); }
 
 bool RetryBudget::take() {
   if (Tokens < 1)
--- a/src/retry_rule.h
+++ b/src/retry_rule.h
@@ -12,12 +12,13 @@
 public:
   RetryBudget() = default;
   /// @param tokens retries that may be made before any request has been seen.
-  explicit RetryBudget(double tokens) : Tokens(tokens) {}
+  explicit RetryBudget(double tokens) : MaxTokens(tokens), Tokens(tokens) {}
   void noteFresh();
   /// @returns whether a retry may be made; takes it from the budget if so.
   bool take();
 
 private:
+  double MaxTokens = 10; ///< Unused retries that are kept.
   double Tokens = 10;
 };
 
--- a/src/traffic_task.cpp
+++ b/src/traffic_task.cpp
@@ -201,7 +201,7 @@
   const auto since = static_cast<double>(now - DrainSince);
   const auto stopTime = static_cast<double>(Settings.StopTime);
   if (since >= CloseShare * stopTime)
-    Ingress->closeWithAnswers();
+    Ingress->beginClose();
   const bool moved = since >= CloseShare * stopTime && now >= Ingress->lastTaken() + QuietTime;
   const bool idle = Gates->pending() == 0 && Ingress->pending() == 0;
   if ((moved && idle) || since >= LastMomentShare * stopTime) {
--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -355,3 +355,18 @@
     }
   }
 }
+
+BOOST_AUTO_TEST_CASE(a_request_in_two_pieces_is_taken_as_it_was_sent) {
+  EchoServer server;
+  const std::string path = "/jego762/le82/272a38?page=20&sort=new";
+  const std::string text =
+      "PUT " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nx-a: some value\r\n\r\nbody";
+  RawClient client;
+  for (std::size_t cut = 1; cut < text.size(); ++cut) {
+    client.send(text.substr(0, cut));
+    usleep(1500);
+    client.send(text.substr(cut));
+    const std::string answer = client.readUntil("|body");
+    BOOST_TEST(answer.find("\r\n\r\n" + path + "|body") != std::string::npos, "cut at " << cut);
+  }
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -42,7 +42,7 @@
 mutant traffic_test gate_base.cpp 's/InFlight >= Upstream.Slots/InFlight > Upstream.Slots/' "one slot too many"
 mutant traffic_test gate_base.cpp 's/  return InFlight == 0 ||/  return true ||/' "a suspect request runs beside others"
 mutant traffic_test retry_rule.cpp 's/result == AttemptResult::NotRun || idempotent/true || idempotent/' "what may have run is sent again"
-mutant traffic_test retry_rule.cpp 's/constexpr double RetryShare = 0.1;/constexpr double RetryShare = 1;/' "retries without a budget"
+mutant traffic_test retry_rule.cpp 's/constexpr double RetryShare = 0.08;/constexpr double RetryShare = 1;/' "retries without a budget"
 mutant rollout_test rollout_func.cpp 's/  const bool later = other.Phase > held.Phase;/  const bool later = other.Phase != held.Phase;/' "a verdict can be undone"
 mutant rollout_test rollout_rule.cpp 's/rule.BadLogOdds)$/1e9)/' "no new version is ever bad"
 mutant http_contract_test http_pool.cpp 's/result.Complete = framed || bodiless;/result.Complete = true;/' "an answer without its length counts as whole"
