Judge ordered rollouts where faults are shared and hosts differ in speed; short calls go first

While a third to two thirds of all requests failed for another reason, the bound on rare failures said nothing of a version that failed more (trace: new 88 of 138 failed, old 602 of 1460, stage 2).

--- a/src/control_document.cpp
+++ b/src/control_document.cpp
@@ -24,10 +24,29 @@
 /// Requests that the new version must have answered before it gets more than its first share.
 constexpr std::uint64_t MinOrderEvidence = 5;
 
-std::uint64_t newRequests(const std::vector<EvidenceStratum> &strata) {
-  std::uint64_t sum = 0;
-  for (const EvidenceStratum &stratum : strata)
-    sum += stratum.New.Requests;
+/// Both versions' counts over all routes.
+struct EvidenceSum {
+  VersionCounts Old;
+  VersionCounts New;
+
+  /// @returns requests to the service per second.
+  double rate() const {
+    return static_cast<double>(Old.Requests + New.Requests) * MsPerSecond /
+           static_cast<double>(EvidenceBuckets * EvidenceBucketMs);
+  }
+
+  std::string text() const {
+    return absl::StrCat("new ", New.Failures, " failed of ", New.Requests, ", old ", Old.Failures,
+                        " of ", Old.Requests);
+  }
+};
+
+EvidenceSum sumOf(const std::vector<EvidenceStratum> &strata) {
+  EvidenceSum sum;
+  for (const EvidenceStratum &stratum : strata) {
+    sum.Old += stratum.Old;
+    sum.New += stratum.New;
+  }
   return sum;
 }
 
@@ -201,20 +220,21 @@
   const bool known = task.StatusKnown || now >= task.Since + StatusPatience;
   if (!known)
     return;
-  const Finding finding = Steering.finding(spec, now);
+  const Finding finding = Steering.orderFinding(spec, now);
   const DurationMs elapsed = now - task.Since + task.Credit;
   const DurationMs settled = now - std::max(task.StageSince, task.Since);
-  const bool evidence =
-      progress.Stage < 1 || newRequests(Steering.strata(spec, now)) >= MinOrderEvidence;
+  const EvidenceSum seen = sumOf(Steering.strata(spec, now));
+  const bool evidence = progress.Stage < 1 || seen.New.Requests >= MinOrderEvidence;
   std::optional<RolloutProgress> next;
   if (finding.Result == Verdict::Bad || evidence)
-    next = decideOrder(finding, progress, elapsed < delay ? 0 : elapsed - delay, settled);
+    next =
+        decideOrder(finding, progress, elapsed < delay ? 0 : elapsed - delay, settled, seen.rate());
   if (next.has_value() && Node.offerProgress(*next)) {
     note("rollout", spec.ID.str(),
          next->Phase == RolloutPhase::TakenBack ? "taken back: " + next->Reason
          : next->Phase == RolloutPhase::Done
              ? "done: " + next->Reason
-             : absl::StrCat("stage ", next->Stage, " after ", elapsed, " ms"));
+             : absl::StrCat("stage ", next->Stage, " after ", elapsed, " ms; ", seen.text()));
     ExchangeEffect effect;
     effect.ProgressChanged = true;
     changed(effect);
--- a/src/evidence_book.cpp
+++ b/src/evidence_book.cpp
@@ -1,6 +1,9 @@
 /// @file evidence_book.cpp Evidence of one rollout, merged from all gates of the service.
 #include "evidence_book.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace jasmineloom {
 
 namespace {
@@ -14,6 +17,58 @@
   auto operator<=>(const StratumKey &) const = default;
 };
 
+/// Answers that are needed to tell a host's speed.
+constexpr std::uint32_t MinSpeedSamples = 5;
+/// Quantile that stands for a host's speed: answers that a fault slows down are above it.
+constexpr double FastQuantile = 0.25;
+
+/// @returns the bucket of the fast ones among counted answers, or nothing if there are too few.
+std::optional<int> fastOf(const std::map<int, std::uint32_t> &counts) {
+  std::uint32_t samples = 0;
+  for (const auto &[bucket, n] : counts)
+    samples += n;
+  if (samples < MinSpeedSamples)
+    return std::nullopt;
+  double seen = 0;
+  for (const auto &[bucket, n] : counts) {
+    seen += n;
+    if (seen >= FastQuantile * samples)
+      return bucket;
+  }
+  return std::nullopt;
+}
+
+std::optional<int> fastBucket(const VersionCounts &counts) {
+  std::map<int, std::uint32_t> filled;
+  for (std::size_t it = 0; it < LatencyBuckets; ++it) {
+    if (counts.Latency[it] != 0)
+      filled[static_cast<int>(it)] = counts.Latency[it];
+  }
+  return fastOf(filled);
+}
+
+/// Takes buckets off all latencies.
+VersionCounts shifted(const VersionCounts &counts, int shift) {
+  VersionCounts moved = counts;
+  moved.Latency.fill(0);
+  constexpr int Last = static_cast<int>(LatencyBuckets) - 1;
+  for (int it = 0; it <= Last; ++it)
+    moved.Latency[static_cast<std::size_t>(std::clamp(it - shift, 0, Last))] +=
+        counts.Latency[static_cast<std::size_t>(it)];
+  return moved;
+}
+
+/// Aligns a host's latencies; those of a host whose speed is not known say nothing.
+VersionCounts aligned(const VersionCounts &counts, const std::map<HostID, int> &shifts,
+                      const HostID &host) {
+  const auto it = shifts.find(host);
+  if (it != shifts.end())
+    return shifted(counts, it->second);
+  VersionCounts without = counts;
+  without.Latency.fill(0);
+  return without;
+}
+
 } // namespace
 
 void EvidenceBook::take(const EvidenceReport &report) {
@@ -26,6 +81,50 @@
 }
 
 std::vector<EvidenceStratum> EvidenceBook::strata(TimeMs now, std::uint64_t buckets) const {
+  return collect(now, buckets, nullptr);
+}
+
+std::vector<EvidenceStratum> EvidenceBook::alignedStrata(TimeMs now, std::uint64_t buckets,
+                                                         const Shifts &shifts) const {
+  return collect(now, buckets, &shifts);
+}
+
+EvidenceBook::Shifts EvidenceBook::shiftsOf(TimeMs now) const {
+  const std::uint64_t last = now / EvidenceBucketMs;
+  const std::uint64_t first = last < EvidenceBuckets ? 0 : last - EvidenceBuckets;
+  const auto begin = Cells.lower_bound({first, HostID()});
+  std::map<RouteName, VersionCounts> old;
+  for (auto it = begin; it != Cells.end(); ++it) {
+    for (const auto &[key, counts] : it->second.Counts) {
+      if (key.Version == OldVersion)
+        old[key.Route] += counts;
+    }
+  }
+  // How much longer each host's answers took than the usual fast ones of their routes.
+  std::map<HostID, std::map<int, std::uint32_t>> excess;
+  for (auto it = begin; it != Cells.end(); ++it) {
+    for (const auto &[key, counts] : it->second.Counts) {
+      const std::optional<int> usual = fastBucket(old[key.Route]);
+      if (!usual.has_value())
+        continue;
+      for (std::size_t bucket = 0; bucket < LatencyBuckets; ++bucket) {
+        if (counts.Latency[bucket] != 0)
+          excess[it->first.Host][static_cast<int>(bucket) - *usual] += counts.Latency[bucket];
+      }
+    }
+  }
+  Shifts shifts;
+  constexpr int MaxShift = static_cast<int>(MaxSpeedDoublings * BucketsPerDoubling);
+  for (const auto &[host, counts] : excess) {
+    const std::optional<int> own = fastOf(counts);
+    if (own.has_value())
+      shifts[host] = std::clamp(*own, -MaxShift, MaxShift);
+  }
+  return shifts;
+}
+
+std::vector<EvidenceStratum> EvidenceBook::collect(TimeMs now, std::uint64_t buckets,
+                                                   const Shifts *shifts) const {
   const std::uint64_t last = now / EvidenceBucketMs;
   const std::uint64_t first = last < buckets ? 0 : last - buckets;
   std::map<StratumKey, EvidenceStratum> found;
@@ -35,10 +134,12 @@
     for (const auto &[key, counts] : it->second.Counts) {
       EvidenceStratum &stratum = found[{it->first.Bucket, key.Route}];
       stratum.Route = key.Route;
+      const VersionCounts moved =
+          shifts == nullptr ? counts : aligned(counts, *shifts, it->first.Host);
       if (key.Version == OldVersion)
-        stratum.Old += counts;
+        stratum.Old += moved;
       if (key.Version == NewVersion)
-        stratum.New += counts;
+        stratum.New += moved;
     }
   }
   std::vector<EvidenceStratum> strata;
--- a/src/evidence_book.h
+++ b/src/evidence_book.h
@@ -15,6 +15,9 @@
   VersionCounts New;
 };
 
+/// Doublings by which the speeds of a service's hosts differ at most.
+constexpr double MaxSpeedDoublings = 1.75;
+
 /// Reports of the last buckets, by host. A report replaces the earlier one of its host and bucket.
 class EvidenceBook {
 public:
@@ -27,6 +30,16 @@
   /// @returns the strata of the last \p buckets whole buckets before \p now.
   std::vector<EvidenceStratum> strata(TimeMs now, std::uint64_t buckets) const;
 
+  using Shifts = std::map<HostID, int>; ///< Latency buckets to take off a host's answers.
+
+  /// @returns by how much each host's fast answers take longer than the old version's do. A version
+  /// that is slow as a whole stays slow: hosts differ in speed by MaxSpeedDoublings at most.
+  Shifts shiftsOf(TimeMs now) const;
+
+  /// @returns the strata with each host's latencies shifted.
+  std::vector<EvidenceStratum> alignedStrata(TimeMs now, std::uint64_t buckets,
+                                             const Shifts &shifts) const;
+
   /// Remembers the old version's behaviour, for when it gets little traffic.
   void noteBaseline(TimeMs now);
 
@@ -49,6 +62,9 @@
     EvidenceCounts Counts;
   };
 
+  std::vector<EvidenceStratum> collect(TimeMs now, std::uint64_t buckets,
+                                       const Shifts *shifts) const;
+
   VersionLabel OldVersion;
   VersionLabel NewVersion;
   std::map<Cell, CellContent> Cells;
--- a/src/gate_base.cpp
+++ b/src/gate_base.cpp
@@ -5,6 +5,23 @@
 
 namespace jasmineloom {
 
+namespace {
+
+/// Objective of requests that state none: they go behind those that do.
+constexpr DurationMs NoObjective = ~DurationMs{0};
+
+DurationMs objectiveOf(const GateRequest &request) {
+  return request.Objective == 0 ? NoObjective : request.Objective;
+}
+
+} // namespace
+
+bool goesBefore(const GateRequest &left, const GateRequest &right) {
+  if (left.Worth != right.Worth)
+    return left.Worth > right.Worth;
+  return objectiveOf(left) < objectiveOf(right);
+}
+
 void CrashLedger::note(std::uint64_t fingerprint, TimeMs now) {
   if (Entries.size() >= MaxFingerprints) {
     const auto oldest =
@@ -85,11 +102,12 @@
   return wait + MinServiceShare * MeanServiceMs > left;
 }
 
-double Gate::expectedWait(std::uint32_t worth) const {
+double Gate::expectedWait(const GateRequest &request) const {
   if (InFlight < Upstream.Slots || Upstream.Slots == 0)
     return 0;
-  const auto ahead = std::count_if(Queue.begin(), Queue.end(),
-                                   [worth](const GateRequest &it) { return it.Worth >= worth; });
+  const auto ahead = std::count_if(Queue.begin(), Queue.end(), [&request](const GateRequest &it) {
+    return !goesBefore(request, it);
+  });
   return static_cast<double>(ahead + 1) * MeanServiceMs / Upstream.Slots;
 }
 
@@ -134,7 +152,7 @@
     start(request, now);
     return {Admission::Run, Refusal::None, std::nullopt};
   }
-  const double wait = expectedWait(request.Worth);
+  const double wait = expectedWait(request);
   const auto retryAfter = static_cast<DurationMs>(wait + MeanServiceMs / Upstream.Slots);
   if (!request.MayQueue)
     return {Admission::Refused, Refusal::Busy, std::nullopt, retryAfter};
@@ -142,10 +160,11 @@
     return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
   AdmissionResult result{Admission::Queued, Refusal::None, std::nullopt, retryAfter};
   if (Queue.size() >= std::size_t{Upstream.Slots} * QueuePerSlot) {
-    const auto least = std::min_element(
-        Queue.rbegin(), Queue.rend(),
-        [](const GateRequest &left, const GateRequest &right) { return left.Worth < right.Worth; });
-    if (least->Worth >= request.Worth)
+    const auto least = std::min_element(Queue.rbegin(), Queue.rend(),
+                                        [](const GateRequest &left, const GateRequest &right) {
+                                          return goesBefore(right, left);
+                                        });
+    if (!goesBefore(request, *least))
       return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
     result.Evicted = least->Ticket;
     Queue.erase(std::next(least).base());
@@ -166,9 +185,7 @@
     it = Queue.erase(it);
   }
   while (!Queue.empty()) {
-    const auto best = std::max_element(
-        Queue.begin(), Queue.end(),
-        [](const GateRequest &left, const GateRequest &right) { return left.Worth < right.Worth; });
+    const auto best = std::min_element(Queue.begin(), Queue.end(), goesBefore);
     if (!mayRun(*best, now))
       break;
     start(*best, now);
--- a/src/gate_base.h
+++ b/src/gate_base.h
@@ -22,9 +22,15 @@
   TimeMs Deadline = 0;           ///< Unix time by which the caller wants the answer.
   std::uint64_t Fingerprint = 0; ///< Of method, path and body; the same when sent again.
   bool MayQueue = true;          ///< False: refused at once where no slot is free.
+  DurationMs Objective = 0;      ///< Latency that the caller expects; 0: none is stated.
   bool operator==(const GateRequest &) const = default;
 };
 
+/// @returns whether a request goes before another that waits for the same slot: the one of more
+/// worth, then the one that is expected sooner. Calls that upstreams make for work that already holds
+/// a slot elsewhere are short and expected soon; to refuse one would throw that work away.
+bool goesBefore(const GateRequest &left, const GateRequest &right);
+
 /// What the gate's upstream said of itself.
 struct LocalUpstream {
   ServiceName Service;
@@ -125,8 +131,8 @@
   void noteResult(bool failed);
   /// @returns recent requests that the upstream failed or turned away, per mille.
   std::uint32_t failing() const;
-  /// @returns the time for which a new request of a worth would wait for a slot, ms.
-  double expectedWait(std::uint32_t worth) const;
+  /// @returns the time for which a new request would wait for a slot, ms.
+  double expectedWait(const GateRequest &request) const;
 
   /// @returns those of the fingerprints in flight at a crash that are to be blamed for it.
   std::vector<std::uint64_t> blamed(const std::vector<std::uint64_t> &inFlight, TimeMs now) const;
--- a/src/gate_task.cpp
+++ b/src/gate_task.cpp
@@ -163,6 +163,7 @@
   job.Asked.Worth = static_cast<std::uint32_t>(numberOr(job.Request, header::Worth, 1));
   job.Asked.Deadline = now + numberOr(job.Request, header::DeadlineMs, 0);
   job.Asked.Fingerprint = fingerprintOf(job.Request);
+  job.Asked.Objective = numberOr(job.Request, header::Objective, 0);
   job.Asked.MayQueue = findHeader(job.Request.Headers, header::MayQueue) != nullptr;
   if (!Settings.Http.RequestID.empty())
     job.Identity = headerOr(job.Request, Settings.Http.RequestID.c_str(), "");
--- a/src/ingress_task.cpp
+++ b/src/ingress_task.cpp
@@ -123,6 +123,8 @@
   std::uint32_t Attempts = 0; ///< Gates that were asked.
   std::uint32_t Reached = 0;  ///< Upstreams that the request has been at.
   std::set<HostID> Tried;
+  std::set<HostID> Busy; ///< Of those tried, the ones that had no free slot.
+  bool Queues = false;   ///< No free slot was found: it waits at a gate.
   HostID Host;
   HttpCallID Call = 0;
   std::uint32_t UpstreamCuts = 0; ///< Upstreams that ended within the request.
@@ -228,6 +230,8 @@
   call.Headers.push_back({header::Version, endpoint.Version.str()});
   call.Headers.push_back({header::Route, job.Route.Name.str()});
   call.Headers.push_back({header::Worth, absl::StrCat(job.Route.Worth)});
+  if (job.Route.Objective != 0)
+    call.Headers.push_back({header::Objective, absl::StrCat(job.Route.Objective)});
   call.Headers.push_back({header::DeadlineMs, absl::StrCat(call.Timeout)});
   call.Headers.push_back({header::Secret, Settings.Secret});
   if (!Settings.Http.CallerService.empty() && !Settings.CallerService.empty())
@@ -236,15 +240,26 @@
     call.Headers.push_back({header::Once, "1"});
   if (job.UpstreamCuts > 0)
     call.Headers.push_back({header::Suspect, "1"});
-  const ServiceView *service = View->serviceNamed(job.Service);
-  const bool last = service == nullptr || job.Tried.size() + 1 >= service->Endpoints.size();
-  if (last || job.Attempts >= FreeSlotTries || !job.Key.empty())
+  if (job.Queues)
     call.Headers.push_back({header::MayQueue, "1"});
   call.Body = makeBuffer();
   evbuffer_add_buffer_reference(call.Body.get(), job.Request.Body.get());
   return call;
 }
 
+const Endpoint *IngressTask::chooseOrQueue(Job &job, const ServiceView &service, TimeMs now) {
+  const bool keyed = !job.Key.empty();
+  const bool searched = job.Busy.size() >= FreeSlotTries;
+  const Endpoint *endpoint = searched ? nullptr : choose(job, service, now);
+  if (job.Queues || (endpoint != nullptr && !keyed))
+    return endpoint;
+  // Waits where the answer is expected first, at one of those that had no free slot too.
+  job.Queues = true;
+  for (const HostID &host : job.Busy)
+    job.Tried.erase(host);
+  return choose(job, service, now);
+}
+
 void IngressTask::attempt(Job &job) {
   const TimeMs now = steadyClockMs();
   if (now >= job.Deadline) {
@@ -252,7 +267,7 @@
     return;
   }
   const ServiceView *service = View->serviceNamed(job.Service);
-  const Endpoint *endpoint = service == nullptr ? nullptr : choose(job, *service, now);
+  const Endpoint *endpoint = service == nullptr ? nullptr : chooseOrQueue(job, *service, now);
   if (endpoint == nullptr) {
     giveUp(job, job.LastRefusal);
     return;
@@ -289,6 +304,8 @@
                        findHeader(result.Headers, header::Reached) != nullptr;
   job.Reached += reached ? 1 : 0;
   job.Tried.insert(job.Host);
+  if (refusalOf(result) == Refusal::Busy)
+    job.Busy.insert(job.Host);
   if (attemptResult == AttemptResult::Answered) {
     const bool failed = result.Status >= FirstServerError && job.Route.Idempotent;
     if (failed && mayTryAgain(job, attemptResult, now)) {
--- a/src/rollout_order.h
+++ b/src/rollout_order.h
@@ -40,11 +40,16 @@
 /// @returns the time of an order after which a stage is reached at the earliest.
 DurationMs orderElapsed(std::uint32_t stage, DurationMs duration);
 
+/// @returns the rule by which ordered rollouts are judged.
+DecisionRule orderRule();
+
 /// Decides an order's next step.
 /// @param elapsed time since the steward first knew the order.
 /// @param settled time since the last step.
+/// @param rate requests to the service, per second; where they are few the new version gets more of
+/// them sooner, so that its faults can show.
 /// @returns the new progress, or nothing if the order stays as it is.
 std::optional<RolloutProgress> decideOrder(const Finding &finding, const RolloutProgress &progress,
-                                           DurationMs elapsed, DurationMs settled);
+                                           DurationMs elapsed, DurationMs settled, double rate);
 
 } // namespace jasmineloom
--- a/src/rollout_rule.cpp
+++ b/src/rollout_rule.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace jasmineloom {
@@ -63,12 +64,15 @@
   return LatencyBuckets;
 }
 
-std::vector<Question> questionsFor(const VersionCounts &old) {
+std::vector<Question> questionsFor(const DecisionRule &rule, const VersionCounts &old) {
+  const auto *stratified = std::get_if<StratifiedRule>(&rule);
+  const std::size_t margin = stratified == nullptr ? 0 : stratified->SlowMargin;
   std::vector<Question> questions = {{"failures", 0, 0.002, 0.03}};
   if (latencySamples(old) < MinBaselineRequests)
     return questions;
-  questions.push_back({"slow answers", bucketAbove(old, SlowQuantile), 0.03, 0.12});
-  questions.push_back({"very slow answers", bucketAbove(old, VerySlowQuantile), 0.012, 0.05});
+  questions.push_back({"slow answers", bucketAbove(old, SlowQuantile) + margin, 0.03, 0.12});
+  questions.push_back(
+      {"very slow answers", bucketAbove(old, VerySlowQuantile) + margin, 0.012, 0.05});
   return questions;
 }
 
@@ -122,11 +126,58 @@
   return sum;
 }
 
+/// Hits and misses that both versions together need for the normal approximation to hold.
+constexpr double MinCommonCounts = 20;
+
+/// Test of Mantel and Haenszel on the strata of one question.
+struct CommonTest {
+  double Z = 0;         ///< Standard errors by which the new version has more hits.
+  double OddsRatio = 0; ///< Common odds ratio over the strata.
+  double Hits = 0;
+  double Misses = 0;
+};
+
+CommonTest commonTest(const Question &question, const Window &window) {
+  CommonTest test;
+  double excess = 0;
+  double variance = 0;
+  double up = 0;
+  double down = 0;
+  for (const EvidenceStratum *stratum : window.Strata) {
+    const Rate old = rateOf(question, stratum->Old);
+    const Rate fresh = rateOf(question, stratum->New);
+    const auto oldN = static_cast<double>(old.Trials);
+    const auto newN = static_cast<double>(fresh.Trials);
+    const double n = oldN + newN;
+    if (oldN == 0 || newN == 0)
+      continue;
+    const auto newHits = static_cast<double>(fresh.Hits);
+    const auto oldHits = static_cast<double>(old.Hits);
+    const double hits = newHits + oldHits;
+    const double misses = n - hits;
+    excess += newHits - hits * newN / n;
+    variance += n > 1 ? newN * oldN * hits * misses / (n * n * (n - 1)) : 0;
+    up += newHits * (oldN - oldHits) / n;
+    down += oldHits * (newN - newHits) / n;
+    test.Hits += hits;
+    test.Misses += misses;
+  }
+  test.Z = variance > 0 ? excess / std::sqrt(variance) : 0;
+  test.OddsRatio = down > 0 ? up / down : up > 0 ? std::numeric_limits<double>::infinity() : 0;
+  return test;
+}
+
 /// Applies a rule to one question.
 struct RuleVisitor {
   const Question &Asked;
   const Window &Seen;
 
+  bool commonlyWorse(const StratifiedRule &rule) const {
+    const CommonTest test = commonTest(Asked, Seen);
+    const bool common = test.Hits >= MinCommonCounts && test.Misses >= MinCommonCounts;
+    return common && test.Z > rule.CommonZ && test.OddsRatio > rule.CommonOdds;
+  }
+
   Verdict operator()(const StratifiedRule &rule) const {
     double hits = 0;
     double newHits = 0;
@@ -150,6 +201,8 @@
     if (newHits >= MinHits && newHits / hits > share &&
         hits * divergence(newHits / hits, share) > rule.BadLogOdds)
       return Verdict::Bad;
+    if (Asked.SlowFrom == 0 && commonlyWorse(rule))
+      return Verdict::Bad;
     if (judgeRatio(SequentialRatioRule{}, Asked, Seen) == Verdict::Bad)
       return Verdict::Suspect;
     const bool good =
@@ -199,7 +252,7 @@
   if (latencySamples(old) < MinBaselineRequests)
     old += window.Baseline;
   Finding finding{Verdict::Good, {}};
-  for (const Question &question : questionsFor(old)) {
+  for (const Question &question : questionsFor(rule, old)) {
     const Verdict verdict = std::visit(RuleVisitor{question, window}, rule);
     const bool worse = verdict > Verdict::Good && verdict > finding.Result;
     if (worse) {
@@ -215,13 +268,21 @@
   return finding;
 }
 
+bool aligned(const DecisionRule &rule) {
+  const auto *stratified = std::get_if<StratifiedRule>(&rule);
+  return stratified != nullptr && stratified->AlignHosts;
+}
+
 } // namespace
 
 Finding judge(const DecisionRule &rule, const EvidenceBook &book, TimeMs now) {
   Finding worst;
   Finding overall;
+  const bool align = aligned(rule);
+  const EvidenceBook::Shifts shifts = align ? book.shiftsOf(now) : EvidenceBook::Shifts{};
   for (const std::uint64_t buckets : WindowBuckets) {
-    const std::vector<EvidenceStratum> strata = book.strata(now, buckets);
+    const std::vector<EvidenceStratum> strata =
+        align ? book.alignedStrata(now, buckets, shifts) : book.strata(now, buckets);
     std::set<RouteName> routes;
     for (const EvidenceStratum &stratum : strata)
       routes.insert(stratum.Route);
--- a/src/rollout_rule.h
+++ b/src/rollout_rule.h
@@ -19,10 +19,20 @@
 /// Compares both versions within each route and second, so that what hits both at once or moves
 /// with time and load cancels out. The hits of the new version are binomial given all hits.
 /// Source: N. Mantel, W. Haenszel, J. Natl. Cancer Inst. 22 (1959), for the stratified margins;
-/// H. Chernoff, Ann. Math. Stat. 23 (1952), for the bound of the tail.
+/// H. Chernoff, Ann. Math. Stat. 23 (1952), for the bound of the tail. The bound says little where
+/// both versions fail often, for instance because a service that they call fails; there the test of
+/// Mantel and Haenszel itself decides.
 struct StratifiedRule {
   double BadLogOdds = 9;    ///< Negative logarithm of the chance of a wrong verdict at one look.
   double AllowedOdds = 1.5; ///< Odds by which a new version may be worse.
+  /// Where failures are common on both sides: standard errors that make a version bad, and the
+  /// odds ratio below which it isn't.
+  double CommonZ = 4.5;
+  double CommonOdds = 1.8;
+  /// Whether the hosts' different speeds are taken out of the latencies before they are compared.
+  bool AlignHosts = false;
+  /// Latency buckets beyond the old version's quantiles at which an answer begins to be slow.
+  std::size_t SlowMargin = 0;
   std::uint64_t GoodRequests = 200;
 };
 
--- a/src/steward_base.cpp
+++ b/src/steward_base.cpp
@@ -41,10 +41,14 @@
   bookOf(spec).take(report);
 }
 
-Finding Steward::finding(const RolloutSpec &spec, TimeMs now) {
+Finding Steward::orderFinding(const RolloutSpec &spec, TimeMs now) {
+  return finding(OrderRule, spec, now);
+}
+
+Finding Steward::finding(const DecisionRule &rule, const RolloutSpec &spec, TimeMs now) {
   EvidenceBook &book = bookOf(spec);
   book.noteBaseline(now);
-  return judge(Rule, book, now);
+  return judge(rule, book, now);
 }
 
 std::vector<EvidenceStratum> Steward::strata(const RolloutSpec &spec, TimeMs now) {
@@ -54,7 +58,7 @@
 std::optional<RolloutProgress> Steward::decide(const RolloutSpec &spec,
                                                const RolloutProgress &progress, TimeMs now,
                                                TimeMs evidenceNow) {
-  return decideRollout(finding(spec, evidenceNow), spec, progress, now);
+  return decideRollout(finding(Rule, spec, evidenceNow), spec, progress, now);
 }
 
 void Steward::keepOnly(const std::vector<RolloutID> &rollouts) {
--- a/src/steward_base.h
+++ b/src/steward_base.h
@@ -3,6 +3,7 @@
 
 #include "host_table.h"
 #include "rollout_func.h"
+#include "rollout_order.h"
 
 #include <map>
 #include <vector>
@@ -28,7 +29,7 @@
   std::optional<RolloutProgress> decide(const RolloutSpec &spec, const RolloutProgress &progress,
                                         TimeMs now, TimeMs evidenceNow);
   /// Judges an ordered rollout's new version.
-  Finding finding(const RolloutSpec &spec, TimeMs now);
+  Finding orderFinding(const RolloutSpec &spec, TimeMs now);
   /// @returns the recent evidence on a rollout.
   std::vector<EvidenceStratum> strata(const RolloutSpec &spec, TimeMs now);
   /// Forgets the evidence of rollouts that are not in the list.
@@ -36,6 +37,7 @@
 
 private:
   EvidenceBook &bookOf(const RolloutSpec &spec);
+  Finding finding(const DecisionRule &rule, const RolloutSpec &spec, TimeMs now);
 
   /// A process whose reports are taken.
   struct Sender {
@@ -47,6 +49,7 @@
   std::map<RolloutID, EvidenceBook> Books;
   std::map<Sender, std::uint64_t> ClockOffsets; ///< Our bucket less the sender's, modulo 2^64.
   DecisionRule Rule = StratifiedRule{};
+  DecisionRule OrderRule = orderRule();
 };
 
 } // namespace jasmineloom
--- a/src/traffic_type.h
+++ b/src/traffic_type.h
@@ -49,6 +49,7 @@
 constexpr const char *Version = "x-jasmine-version";
 constexpr const char *Route = "x-jasmine-route";
 constexpr const char *Worth = "x-jasmine-worth";
+constexpr const char *Objective = "x-jasmine-objective-ms";
 constexpr const char *Once = "x-jasmine-once";       ///< Present on requests that run at most once.
 constexpr const char *Suspect = "x-jasmine-suspect"; ///< The request may have crashed an upstream.
 constexpr const char *Key = "idempotency-key";
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -223,6 +223,45 @@
   BOOST_TEST((gate.finish(Now).Run == std::vector<GateTicket>{4}));
 }
 
+BOOST_AUTO_TEST_CASE(of_equal_worth_what_is_expected_sooner_goes_first) {
+  // A call made by work that holds a slot elsewhere (objective 120 ms) against fresh work.
+  Gate gate = openGate(1);
+  gate.admit(request(1), Now);
+  GateRequest fresh = request(2, 5);
+  fresh.Objective = 500;
+  GateRequest call = request(3, 5);
+  call.Objective = 120;
+  gate.admit(fresh, Now);
+  gate.admit(call, Now);
+  BOOST_TEST((gate.finish(Now).Run == std::vector<GateTicket>{3}));
+  // With the queue full the fresh request makes room for another call, not the other way round.
+  call.Ticket = 4;
+  gate.admit(call, Now);
+  call.Ticket = 5;
+  BOOST_TEST((gate.admit(call, Now).Evicted == std::optional<GateTicket>(2)));
+  fresh.Ticket = 6;
+  BOOST_TEST((gate.admit(fresh, Now).Reason == Refusal::Overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(what_can_not_end_in_time_is_refused_at_once) {
+  Gate gate = openGate(1);
+  gate.noteServed(400);
+  gate.admit(request(1), Now);
+  GateRequest hurried = request(2);
+  hurried.Deadline = Now + 500;
+  const AdmissionResult refused = gate.admit(hurried, Now);
+  BOOST_TEST((refused.Reason == Refusal::Overloaded));
+  BOOST_TEST(refused.RetryAfter >= 400U);
+  GateRequest patient = request(3);
+  patient.Deadline = Now + 2000;
+  BOOST_TEST((gate.admit(patient, Now).Result == Admission::Queued));
+  GateRequest searching = request(4);
+  searching.MayQueue = false;
+  BOOST_TEST((gate.admit(searching, Now).Reason == Refusal::Busy));
+  // Its turn comes too late: it is refused then, not at its deadline.
+  BOOST_TEST((gate.finish(Now + 1900).Expired == std::vector<GateTicket>{3}));
+}
+
 BOOST_AUTO_TEST_CASE(draining_lets_queued_and_running_requests_end) {
   Gate gate = openGate(1);
   gate.admit(request(1), Now);
