--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -12,8 +12,10 @@
 
 /// Service time that is taken for an upstream of which nothing is known, ms.
 constexpr double UnknownServiceMs = 100;
-/// Cost of leaving the data centre, ms: the way there and back, and the bytes that are paid for.
+/// Cost of leaving the data centre: the way there and back in ms, and for the bytes that are paid
+/// for a share of the service time, so that work leaves when the near upstreams are nearly full.
 constexpr double RemotePenaltyMs = 6;
+constexpr double RemotePenaltyShare = 0.35;
 /// Added part of the service time at full slots: upstreams slow down when they are nearly full.
 constexpr double CrowdedFactor = 0.5;
 
@@ -50,7 +52,7 @@
   const double ahead = std::max(0.0, held + 1 - slots);
   const double crowd = std::min(1.0, held / slots);
   return service * (1 + ahead / slots + CrowdedFactor * crowd * crowd) +
-         (endpoint.Local ? 0 : RemotePenaltyMs);
+         (endpoint.Local ? 0 : RemotePenaltyMs + RemotePenaltyShare * service);
 }
 
 /// Failures per mille by which an upstream may be worse than the best one before it is left out.
@@ -128,6 +130,20 @@
   return costOf(*left, ledger, now) <= costOf(*right, ledger, now) ? left : right;
 }
 
+/// Draws two different endpoints and takes the one that is expected to answer sooner.
+/// @returns null if there is none.
+const Endpoint *betterOfTwo(const std::vector<const Endpoint *> &choices,
+                            const EndpointLedger &ledger, std::mt19937_64 &random, TimeMs now) {
+  if (choices.empty())
+    return nullptr;
+  const std::size_t first = random() % choices.size();
+  if (choices.size() == 1)
+    return choices[first];
+  // Two different ones: the slower of two is never chosen while the other is free.
+  const std::size_t second = (first + 1 + random() % (choices.size() - 1)) % choices.size();
+  return cheaper(choices[first], choices[second], ledger, now);
+}
+
 /// @returns the endpoints of a version; of the other one if the first has none at all.
 std::vector<const Endpoint *> choicesFor(const ServiceView &service, const VersionLabel &version,
                                          const EndpointLedger &ledger,
@@ -250,14 +266,15 @@
       return cheaper(one, other, ledger, now);
   }
   const std::vector<const Endpoint *> choices = choicesFor(service, version, ledger, tried, now);
-  if (choices.empty())
-    return nullptr;
-  const std::size_t first = random() % choices.size();
-  if (choices.size() == 1)
-    return choices[first];
-  // Two different ones: the slower of two is never chosen while the other is free.
-  const std::size_t second = (first + 1 + random() % (choices.size() - 1)) % choices.size();
-  return cheaper(choices[first], choices[second], ledger, now);
+  std::vector<const Endpoint *> near;
+  std::vector<const Endpoint *> remote;
+  for (const Endpoint *endpoint : choices)
+    (endpoint->Local ? near : remote).push_back(endpoint);
+  const Endpoint *own = betterOfTwo(near, ledger, random, now);
+  const Endpoint *other = betterOfTwo(remote, ledger, random, now);
+  if (own == nullptr || other == nullptr)
+    return own == nullptr ? other : own;
+  return cheaper(own, other, ledger, now);
 }
 
 const Endpoint *chooseEndpointForKey(const ServiceView &service, const std::string &key,
