--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -15,7 +15,7 @@
 /// Cost of leaving the data centre: the way there and back in ms, and for the bytes that are paid
 /// for a share of the service time, so that work leaves when the near upstreams are nearly full.
 constexpr double RemotePenaltyMs = 6;
-constexpr double RemotePenaltyShare = 0.35;
+constexpr double RemotePenaltyShare = 0.5;
 /// Added part of the service time at full slots: upstreams slow down when they are nearly full.
 constexpr double CrowdedFactor = 0.5;
 
