--- a/src/gate_base.cpp
+++ b/src/gate_base.cpp
@@ -160,10 +160,9 @@
     return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
   AdmissionResult result{Admission::Queued, Refusal::None, std::nullopt, retryAfter};
   if (Queue.size() >= std::size_t{Upstream.Slots} * QueuePerSlot) {
-    const auto least = std::min_element(Queue.rbegin(), Queue.rend(),
-                                        [](const GateRequest &left, const GateRequest &right) {
-                                          return goesBefore(right, left);
-                                        });
+    const auto least = std::min_element(
+        Queue.rbegin(), Queue.rend(),
+        [](const GateRequest &left, const GateRequest &right) { return goesBefore(right, left); });
     if (!goesBefore(request, *least))
       return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
     result.Evicted = least->Ticket;
--- a/src/gate_base.h
+++ b/src/gate_base.h
@@ -27,8 +27,8 @@
 };
 
 /// @returns whether a request goes before another that waits for the same slot: the one of more
-/// worth, then the one that is expected sooner. Calls that upstreams make for work that already holds
-/// a slot elsewhere are short and expected soon; to refuse one would throw that work away.
+/// worth, then the one that is expected sooner. Calls that upstreams make for work that already
+/// holds a slot elsewhere are short and expected soon; to refuse one would throw that work away.
 bool goesBefore(const GateRequest &left, const GateRequest &right);
 
 /// What the gate's upstream said of itself.
--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -37,7 +37,7 @@
      "IP:port for callers' requests; goes before address and ingress-port"},
     {"management-listen", SettingType::Address, 0, 0, "", "",
      "IP:port list of the management port; goes before address and management-port"},
-    {"caller-service", SettingType::Text, 0, 128, "", "",
+    {"local-service", SettingType::Text, 0, 128, "", "",
      "Service that runs on this host, told to upstreams as the caller's"},
     {"in-force-time", SettingType::Number, 500, 600000, "19000", "ms",
      "Time in which a change has to be in force everywhere"},
@@ -99,7 +99,7 @@
   if (traffic.ManagementAddresses.empty())
     traffic.ManagementAddresses = {
         absl::StrCat(traffic.ListenAddress, ":", values.number("management-port"))};
-  traffic.CallerService = ServiceName(values.text("caller-service"));
+  traffic.CallerService = ServiceName(values.text("local-service"));
   traffic.AnnounceSilence = MissedHeartbeats * milliseconds(values, "heartbeat-interval");
   traffic.DrainTime = milliseconds(values, "drain-time");
   traffic.StopTime = milliseconds(values, "stop-time") * MsPerSecond;
--- a/src/rollout_order.cpp
+++ b/src/rollout_order.cpp
@@ -23,7 +23,7 @@
 /// for the rule to see a fault that comes with load.
 /// A suspicion at a full share leads to one more comparison with the old version.
 constexpr std::array<OrderStage, 7> Stages = {
-    OrderStage{0, 0.0},      OrderStage{70, 0.0},   OrderStage{250, 0.50}, OrderStage{600, 0.58},
+    OrderStage{0, 0.0},     OrderStage{70, 0.0},   OrderStage{250, 0.50}, OrderStage{600, 0.58},
     OrderStage{1000, 0.66}, OrderStage{300, 0.66}, OrderStage{1000, 0.66}};
 /// The stage of that comparison.
 constexpr std::uint32_t CompareStage = 5;
--- a/tests/store_contract_test.cpp
+++ b/tests/store_contract_test.cpp
@@ -7,6 +7,8 @@
 #include "http_pool.h"
 
 #include "fake_store.h"
+#include "kv_standin.h"
+#include "platform_environment.h"
 
 #include <cstdlib>
 #include <functional>
@@ -115,3 +117,51 @@
   for (const char *body : {"", "{", "nonsense", "{\"kvs\":7}", "[]"})
     BOOST_TEST((etcdGateway().Decode(StoreRead{"k"}, 200, body).Result != StoreResult::Ok), body);
 }
+
+BOOST_AUTO_TEST_CASE(the_platforms_store_keeps_the_contract) {
+  KvStandin standin;
+  const StoreProtocol protocol = platform::storeProtocol();
+  const auto perform = [&](const StoreRequest &request) {
+    const KvReply reply = standin.handle(protocol.Encode(request));
+    return protocol.Decode(request, reply.Status, reply.Body);
+  };
+  checkContract(perform, "jasmineloom/contract/");
+}
+
+BOOST_AUTO_TEST_CASE(watches_pages_and_leases_of_the_platforms_store) {
+  KvStandin standin;
+  const StoreProtocol protocol = platform::storeProtocol();
+  const auto perform = [&](const StoreRequest &request) {
+    const KvReply reply = standin.handle(protocol.Encode(request));
+    return protocol.Decode(request, reply.Status, reply.Body);
+  };
+  // A watch goes on from the revision of the list, and tells writes and removals.
+  perform(StorePut{"p/a b&c", "bytes \x01", 0});
+  const StoreAnswer listed = perform(StoreList{"p/"});
+  BOOST_REQUIRE(listed.Entries.size() == 1U);
+  BOOST_TEST(listed.Entries.front().Key == "p/a b&c");
+  BOOST_TEST(listed.Entries.front().Value == "bytes \x01");
+  const std::int64_t lease = perform(StoreGrantLease{3}).Lease;
+  perform(StorePut{"p/leased", "x", lease});
+  standin.endLease(lease);
+  BOOST_TEST(perform(StoreKeepAlive{lease}).Lease == 0);
+  BOOST_TEST((perform(StorePut{"p/leased", "x", lease}).Result == StoreResult::Conflict));
+  const StoreAnswer events = perform(StoreWatch{"p/", listed.Revision, 1000});
+  BOOST_REQUIRE(events.Entries.size() == 2U);
+  BOOST_TEST(!events.Entries.front().Removed);
+  BOOST_TEST(events.Entries.back().Removed);
+  // A history that is gone has to be listed anew.
+  standin.compact();
+  BOOST_TEST((perform(StoreWatch{"p/", 1, 1000}).Result == StoreResult::Compacted));
+  // Pages.
+  standin.PageSize = 2;
+  for (const char *key : {"q/1", "q/2", "q/3"})
+    perform(StorePut{key, "v", 0});
+  const StoreAnswer first = perform(StoreList{"q/"});
+  BOOST_TEST(first.More);
+  BOOST_REQUIRE(first.Entries.size() == 2U);
+  const StoreAnswer second = perform(StoreList{"q/", first.Entries.back().Key, false});
+  BOOST_TEST(!second.More);
+  BOOST_REQUIRE(second.Entries.size() == 1U);
+  BOOST_TEST(second.Entries.front().Key == "q/3");
+}
