--- a/src/gate_task.cpp
+++ b/src/gate_task.cpp
@@ -575,7 +575,7 @@
          absl::StrFormat("%.3f", static_cast<double>(retryAfter) / MsPerSecond)});
   RequestLine line;
   line.Request = job.Identity;
-  line.Decision = outcome == Outcome::NotRun ? "refused" : outcomeName;
+  line.Decision = decisionOf(outcome);
   line.Reason = reasonName;
   line.Route = job.Route.str();
   line.Left = job.Asked.Deadline > now ? job.Asked.Deadline - now : 0;
--- a/src/ingress_task.cpp
+++ b/src/ingress_task.cpp
@@ -407,7 +407,7 @@
   HttpReply reply{statusFor(outcome, reason),
                   {{header::Outcome, outcomeName}, {header::Reason, reasonName}},
                   makeBuffer(absl::StrCat(outcomeName, ": ", reasonName, "\n"))};
-  RequestLine line = lineOf(job, outcome == Outcome::NotRun ? "refused" : outcomeName, now);
+  RequestLine line = lineOf(job, decisionOf(outcome), now);
   line.Reason = reasonName;
   line.Status = reply.Status;
   if (reply.Status == StatusUnavailable) {
--- a/src/request_log.cpp
+++ b/src/request_log.cpp
@@ -39,6 +39,10 @@
 
 } // namespace
 
+std::string_view decisionOf(Outcome outcome) {
+  return outcome == Outcome::NotRun ? "refused" : nameOf(outcome);
+}
+
 void RequestLog::write(const RequestLine &line, TimeMs now) {
   if (line.Decision == nameOf(Outcome::Answered) && !sampled(line.Request))
     return;
--- a/src/request_log.h
+++ b/src/request_log.h
@@ -27,6 +27,9 @@
   DurationMs RetryAfter = 0; ///< Told to the caller.
 };
 
+/// @returns the decision that a line names for an outcome.
+std::string_view decisionOf(Outcome outcome);
+
 /// Writes lines of one part of the program and bounds their number. Requests that were answered
 /// well are sampled by their identity, so that all hops keep the same ones.
 class RequestLog {
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -5,6 +5,7 @@
 #include "gate_base.h"
 #include "key_memory.h"
 #include "placement.h"
+#include "request_log.h"
 #include "retry_rule.h"
 
 #include "test_config.h"
@@ -262,6 +263,12 @@
   BOOST_TEST((gate.finish(Now + 1900).Expired == std::vector<GateTicket>{3}));
 }
 
+BOOST_AUTO_TEST_CASE(a_line_names_the_decision_of_its_outcome) {
+  BOOST_TEST(std::string(decisionOf(Outcome::NotRun)) == "refused");
+  BOOST_TEST(std::string(decisionOf(Outcome::Unknown)) == "unknown");
+  BOOST_TEST(std::string(decisionOf(Outcome::Answered)) == "answered");
+}
+
 BOOST_AUTO_TEST_CASE(draining_lets_queued_and_running_requests_end) {
   Gate gate = openGate(1);
   gate.admit(request(1), Now);
