Share the retry slack among the nodes that the mesh has

Ruled out: a budget in the store, as its rates grow more slowly than the fleet. Figures: placement_test checks the sum over 13 to 1,000 nodes; the setting drain-time, which nothing used, is gone.

--- a/src/control_document.cpp
+++ b/src/control_document.cpp
@@ -239,10 +239,10 @@
     effect.ProgressChanged = true;
     changed(effect);
   }
-  const RolloutProgress &now2 = Node.progress().at(progress.ID);
-  const bool told = task.ToldPhase == now2.Phase && task.ToldStage == now2.Stage;
+  const RolloutProgress &current = Node.progress().at(progress.ID);
+  const bool told = task.ToldPhase == current.Phase && task.ToldStage == current.Stage;
   if (task.StatusKnown && !task.Busy && !told && now >= task.NextWrite)
-    writeOrderStatus(now2, now);
+    writeOrderStatus(current, now);
 }
 
 void ControlTask::readOrderStatus(const RolloutProgress &progress) {
--- a/src/gate_task.h
+++ b/src/gate_task.h
@@ -28,9 +28,8 @@
   ServiceName CallerService;                    ///< Service of the callers on this host.
   HttpDialect Http;
   DurationMs AnnounceSilence = 0; ///< Without a heartbeat for this long an upstream is left out.
-  DurationMs DrainTime = 0;       ///< Time in which a leaving upstream's queue must be empty.
   DurationMs StopTime = 0;        ///< Time in which the process has to end once it is told to.
-  double RetryTokens = 0;         ///< Retries to a service before any request has been seen.
+  double RetrySlack = 0; ///< Retries to a service that all nodes may make beyond their share.
   std::string Secret;
   std::size_t MaxBody = 0;
   std::size_t MaxHeaderBytes = 0;
--- a/src/ingress_task.cpp
+++ b/src/ingress_task.cpp
@@ -150,6 +150,9 @@
 
 void IngressTask::setView(RoutingViewPtr view, TimeMs now) {
   View = std::move(view);
+  RetryTokens = retryTokensOf(Settings.RetrySlack, View->Hosts.size());
+  for (auto &[service, budget] : Budgets)
+    budget.limit(RetryTokens);
   for (const auto &[name, service] : View->Services) {
     for (const Endpoint &endpoint : service.Endpoints)
       Ledger.noteSeen(endpoint, now);
@@ -164,7 +167,7 @@
 }
 
 RetryBudget &IngressTask::budgetOf(const ServiceName &service) {
-  return Budgets.try_emplace(service, Settings.RetryTokens).first->second;
+  return Budgets.try_emplace(service, RetryTokens).first->second;
 }
 
 void IngressTask::take(HttpRequest request) {
--- a/src/ingress_task.h
+++ b/src/ingress_task.h
@@ -60,6 +60,7 @@
   RoutingViewPtr View;
   EndpointLedger Ledger;
   std::map<ServiceName, RetryBudget> Budgets;
+  double RetryTokens = 0; ///< Unused retries that are kept for each service.
   std::mt19937_64 Random;
   RequestLog Log;
   TimeMs LastTaken = 0;
--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -43,8 +43,6 @@
      "Time in which a change has to be in force everywhere"},
     {"heartbeat-interval", SettingType::Number, 50, 60000, "1250", "ms",
      "Time between the heartbeats of the upstream"},
-    {"drain-time", SettingType::Number, 100, 600000, "2000", "ms",
-     "Time after which a leaving upstream must get no new work"},
     {"stop-time", SettingType::Number, 1, 600, "6", "seconds",
      "Time in which the process has to end once it is told to"},
     {"retry-slack", SettingType::Number, 0, 100000, "60", "requests",
@@ -72,10 +70,6 @@
 
 /// Heartbeats that may be missing before the upstream gets no new work.
 constexpr DurationMs MissedHeartbeats = 4;
-/// Part of the slack that retries use up; the rest is left for what arrives late.
-constexpr double SlackShare = 0.8;
-/// Nodes that send to one service at once, at most, in a small mesh.
-constexpr double NodesSharingSlack = 16;
 
 DurationMs milliseconds(const Settings &values, const std::string &name) {
   return static_cast<DurationMs>(values.number(name));
@@ -101,10 +95,8 @@
         absl::StrCat(traffic.ListenAddress, ":", values.number("management-port"))};
   traffic.CallerService = ServiceName(values.text("local-service"));
   traffic.AnnounceSilence = MissedHeartbeats * milliseconds(values, "heartbeat-interval");
-  traffic.DrainTime = milliseconds(values, "drain-time");
   traffic.StopTime = milliseconds(values, "stop-time") * MsPerSecond;
-  traffic.RetryTokens =
-      static_cast<double>(values.number("retry-slack")) * SlackShare / NodesSharingSlack;
+  traffic.RetrySlack = static_cast<double>(values.number("retry-slack"));
   traffic.StoreAddress = values.text("store");
   traffic.Secret = values.text("secret");
   traffic.MaxBody = static_cast<std::size_t>(values.number("max-body"));
--- a/src/retry_rule.cpp
+++ b/src/retry_rule.cpp
@@ -9,8 +9,21 @@
 /// Retries for each fresh request. Repeated work repeats its calls, so that a service deep down
 /// sees twice this share; operators allow a fifth.
 constexpr double RetryShare = 0.08;
+/// Part of the slack that retries use up; the rest is left for what arrives late.
+constexpr double SlackShare = 0.8;
+/// Nodes that are expected at least: a node that starts knows few others.
+constexpr std::size_t MinNodes = 16;
 } // namespace
 
+double retryTokensOf(double slack, std::size_t nodes) {
+  return slack * SlackShare / static_cast<double>(std::max(nodes, MinNodes));
+}
+
+void RetryBudget::limit(double tokens) {
+  MaxTokens = tokens;
+  Tokens = std::min(Tokens, tokens);
+}
+
 void RetryBudget::noteFresh() { Tokens = std::min(MaxTokens, Tokens + RetryShare); }
 
 bool RetryBudget::take() {
--- a/src/retry_rule.h
+++ b/src/retry_rule.h
@@ -3,6 +3,7 @@
 
 #include "ids_type.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace jasmineloom {
@@ -13,6 +14,8 @@
   RetryBudget() = default;
   /// @param tokens retries that may be made before any request has been seen.
   explicit RetryBudget(double tokens) : MaxTokens(tokens), Tokens(tokens) {}
+  /// Bounds the unused retries that are kept.
+  void limit(double tokens);
   void noteFresh();
   /// @returns whether a retry may be made; takes it from the budget if so.
   bool take();
@@ -22,6 +25,11 @@
   double Tokens = 10;
 };
 
+/// @param slack retries to a service that all nodes may make beyond their share.
+/// @param nodes number of nodes that may send to it.
+/// @returns the unused retries that one node may keep.
+double retryTokensOf(double slack, std::size_t nodes);
+
 /// Result of one attempt.
 enum class AttemptResult : std::uint8_t { Answered, NotRun, Unknown };
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -147,6 +147,16 @@
   BOOST_TEST(taken == 3);
 }
 
+BOOST_AUTO_TEST_CASE(the_slack_is_shared_by_all_nodes) {
+  for (const std::size_t nodes : {13U, 15U, 73U, 90U, 1000U})
+    BOOST_TEST(retryTokensOf(60, nodes) * static_cast<double>(nodes) <= 60);
+  RetryBudget budget(10);
+  budget.limit(2);
+  BOOST_TEST(budget.take());
+  BOOST_TEST(budget.take());
+  BOOST_TEST(!budget.take());
+}
+
 struct AnswerCase {
   const char *Name;
   int Status;
