--- a/tests/kv_standin.h
+++ b/tests/kv_standin.h
@@ -143,7 +143,8 @@
     return {200, nlohmann::json({{"revision", Revision}}).dump()};
   }
 
-  void remove(const std::string &key) {
+  /// @param key by value: it may be the key of the entry that goes.
+  void remove(std::string key) {
     Items.erase(key);
     History.emplace(Revision,
                     nlohmann::json({{"key", key}, {"revision", Revision}, {"removed", true}}));
