--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -110,7 +110,9 @@
   }
 }
 
-void ControlTask::handleLinkFailure(const HostID &peer) {
+void ControlTask::handleLinkFailure(const HostID &peer, const std::string &reason) {
+  recordEvent("link", peer.str(), "failed: " + reason);
+  ++LinkFailureCount;
   LinkFailures[peer] = steadyClockMs();
   const auto it = Links.find(peer);
   if (it != Links.end())
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -27,6 +27,12 @@
 /// machine.
 constexpr DurationMs MinSuspendedTime = 300;
 
+std::string transferText(const ConfigDelta &delta, std::uint64_t bytes) {
+  return absl::StrCat(delta.BaseVersion == 0 ? "whole"
+                                             : absl::StrCat("delta to version ", delta.BaseVersion),
+                      ", ", delta.Upserts.size(), " objects, ", bytes, " bytes");
+}
+
 } // namespace
 
 class ControlTask::ErrorHandler final : public kj::TaskSet::ErrorHandler {
@@ -121,6 +127,20 @@
   LOG4CXX_INFO(loggerOf(kind.c_str()), subject << ": " << text);
 }
 
+void ControlTask::recordConfigSent(const HostID &peer, const ConfigDelta &delta,
+                                   std::uint64_t bytes) {
+  ++(delta.BaseVersion == 0 ? Transfers.Snapshots : Transfers.Deltas);
+  Transfers.Bytes += bytes;
+  recordEvent("config", absl::StrCat("version ", delta.Version),
+              absl::StrCat("sent to ", peer.str(), ": ", transferText(delta, bytes)));
+}
+
+void ControlTask::recordConfigReceived(const HostID &peer, const ConfigDelta &delta,
+                                       std::uint64_t bytes) {
+  recordEvent("config", absl::StrCat("version ", delta.Version),
+              absl::StrCat("received from ", peer.str(), ": ", transferText(delta, bytes)));
+}
+
 // --- Messages from the traffic task ---
 
 void ControlTask::handleMessages() {
@@ -293,6 +313,8 @@
 
 kj::Promise<void> ControlTask::tickLoop() {
   const TimeMs now = steadyClockMs();
+  if (const DurationMs late = Stalls.recordFired(TickDue == 0 ? now : TickDue, now); late != 0)
+    recordEvent("main", "control loop", absl::StrCat("stalled for ", late, " ms"));
   detectSuspension(now);
   StateChanges changes;
   changes.TableChanged = Node.tick(now);
@@ -313,7 +335,11 @@
   figures.Children = Node.childCount();
   figures.Root = Position.Root;
   figures.StoreReachable = Store.reachable();
+  figures.Transfers = Transfers;
+  figures.LinkFailures = LinkFailureCount;
+  figures.LongestStall = Stalls.longest();
   Traffic.put(figures);
+  TickDue = steadyClockMs() + TickPeriod;
   return timer().afterDelay(TickPeriod * kj::MILLISECONDS).then([this] { return tickLoop(); });
 }
 
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -7,6 +7,7 @@
 #include "mesh/mesh_timings.h"
 #include "mesh/peer_connection.h"
 #include "rollout/rollout_controller_base.h"
+#include "stall_watch.h"
 #include "store/store_client.h"
 #include "timeline.h"
 
@@ -70,6 +71,10 @@
   kj::Promise<ChangeOutcome> runChange(ChangeRequest request, std::vector<std::string> *changes);
   /// Adds a gate's report to the evidence on a rollout that this host controls.
   void recordEvidence(const EvidenceReport &report);
+  /// Logs and counts a configuration that was sent to a peer.
+  void recordConfigSent(const HostID &peer, const ConfigDelta &delta, std::uint64_t bytes);
+  /// Logs a configuration that a peer sent, with its size on the wire.
+  void recordConfigReceived(const HostID &peer, const ConfigDelta &delta, std::uint64_t bytes);
   /// Starts draining this host.
   /// @param cause initiator, for the time line.
   void drain(const std::string &cause);
@@ -84,7 +89,7 @@
   /// Makes all links send pending updates.
   void sendPendingUpdates();
   /// Removes a failed link; its peer is not tried again within LinkRetryDelay.
-  void handleLinkFailure(const HostID &peer);
+  void handleLinkFailure(const HostID &peer, const std::string &reason);
 
 private:
   /// An exchange whose response is sent once updates are pending for the peer.
@@ -185,6 +190,9 @@
   char WakeBuffer[64] = {};
   ControlBytes Bytes;
   ControlBytes OperatorBytes;
+  ConfigTransferCounts Transfers;
+  StallWatch Stalls;
+  TimeMs TickDue = 0; ///< Time for which the next tick is scheduled; 0 before the first.
   MeshNode Node;
   StoreClient Store;
   PeerCache Peers;
@@ -197,6 +205,7 @@
   std::map<DataCentreName, std::vector<HostID>> RemoteRoots;
   std::map<HostID, std::unique_ptr<LinkTask>> Links;
   std::map<HostID, TimeMs> LinkFailures;
+  std::uint64_t LinkFailureCount = 0;
   std::map<HostID, std::uint32_t> ProbeFailures;
   std::vector<HeldExchange> HeldExchanges;
   std::set<RolloutID> EndingRollouts;
--- a/src/mesh/link_task.cpp
+++ b/src/mesh/link_task.cpp
@@ -16,9 +16,7 @@
     : Control(control), Peer(std::move(peer)), Address(std::move(address)), Joining(joining),
       RunPromise(nullptr), SendPromise(kj::READY_NOW) {
   RunPromise = run().eagerlyEvaluate([this](kj::Exception &&exception) {
-    LOG4CXX_DEBUG(loggerOf("link"),
-                  "link to " << Peer.str() << " failed: " << exception.getDescription().cStr());
-    Control.handleLinkFailure(Peer);
+    Control.handleLinkFailure(Peer, exception.getDescription().cStr());
   });
 }
 
@@ -38,16 +36,22 @@
 
 kj::Promise<void> LinkTask::exchange(DurationMs hold) {
   auto request = Connection->Peer.exchangeRequest();
-  writeExchange(request.initMessage(), Control.node().buildMessage(Peer, Joining, steadyClockMs()));
+  const ExchangeMessage message = Control.node().buildMessage(Peer, Joining, steadyClockMs());
+  auto to = request.initMessage();
+  writeExchange(to, message);
+  if (message.Config.has_value())
+    Control.recordConfigSent(Peer, *message.Config, wireBytes(to.getConfig().asReader()));
   request.setHoldMs(static_cast<std::uint32_t>(hold));
   auto sent = request.send();
   return Control.timer()
       .timeoutAfter((hold + Control.settings().Times.LinkResponseTimeout) * kj::MILLISECONDS,
                     sent.then([](auto &&response) { return kj::mv(response); }))
       .then([this](capnp::Response<wire::Peer::ExchangeResults> response) {
-        const StateChanges changes =
-            Control.node().receiveMessage(readExchange(response.getMessage()), steadyClockMs());
-        Control.propagateChanges(changes);
+        const ExchangeMessage received = readExchange(response.getMessage());
+        if (received.Config.has_value())
+          Control.recordConfigReceived(Peer, *received.Config,
+                                       wireBytes(response.getMessage().getConfig()));
+        Control.propagateChanges(Control.node().receiveMessage(received, steadyClockMs()));
       });
 }
 
--- a/src/mesh/peer_service.cpp
+++ b/src/mesh/peer_service.cpp
@@ -30,13 +30,19 @@
   const TimeMs now = steadyClockMs();
   if (message.Joining && !Control.node().acceptsChild(message.Host))
     KJ_FAIL_REQUIRE("busy: this node has as many children as it takes");
+  if (message.Config.has_value())
+    Control.recordConfigReceived(message.Host, *message.Config,
+                                 wireBytes(context.getParams().getMessage().getConfig()));
   const StateChanges changes = Control.node().receiveMessage(message, now);
   Control.propagateChanges(changes);
   const HostID peer = message.Host;
   context.releaseParams();
   return Control.waitForUpdates(peer, hold).then([this, peer, context]() mutable {
-    writeExchange(context.getResults().initMessage(),
-                  Control.node().buildMessage(peer, false, steadyClockMs()));
+    const ExchangeMessage response = Control.node().buildMessage(peer, false, steadyClockMs());
+    auto to = context.getResults().initMessage();
+    writeExchange(to, response);
+    if (response.Config.has_value())
+      Control.recordConfigSent(peer, *response.Config, wireBytes(to.getConfig().asReader()));
   });
 }
 
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -32,6 +32,12 @@
 /// Starts draining: the host stops accepting new work, and Drained follows once no request is in
 /// flight.
 struct BeginDrain {};
+/// Configurations sent to other nodes.
+struct ConfigTransferCounts {
+  std::uint64_t Deltas = 0;
+  std::uint64_t Snapshots = 0;
+  std::uint64_t Bytes = 0;
+};
 /// Metrics of the control task, for the metrics page.
 struct ControlFigures {
   ConfigVersion HeldVersion = 0;
@@ -42,6 +48,9 @@
   std::uint32_t Children = 0;
   bool Root = false;
   bool StoreReachable = false;
+  ConfigTransferCounts Transfers;
+  std::uint64_t LinkFailures = 0;
+  DurationMs LongestStall = 0; ///< Longest lateness of the control task's event loop.
 };
 /// Ends the task's event loop.
 struct StopTask {};
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -66,6 +66,7 @@
 struct GateTask::RequestContext {
   HttpRequest Request;
   std::string CallerRequestID; ///< Empty if the caller set none.
+  TimeMs ArrivedAt = 0;
   GateRequest Attributes;
   RouteName Route;
   std::string Key;
@@ -160,6 +161,7 @@
   auto owned = std::make_unique<RequestContext>();
   RequestContext &context = *owned;
   context.Request = std::move(request);
+  context.ArrivedAt = now;
   context.Route = RouteName(headerValue(context.Request.Headers, header::Route));
   if (findHeader(context.Request.Headers, header::Once) != nullptr)
     context.Key = headerValue(context.Request.Headers, header::Key);
@@ -598,6 +600,14 @@
   if (it == Contexts.end())
     return;
   RequestContext &context = *it->second;
+  const TimeMs now = steadyClockMs();
+  RequestLine line;
+  line.Request = context.CallerRequestID;
+  line.Decision = "cancelled";
+  line.Reason = context.Running ? "running" : "queued";
+  line.Route = context.Route.str();
+  line.Elapsed = now - context.ArrivedAt;
+  Log.write(line, now);
   if (!context.Running) {
     AdmissionControl.cancelQueued(id);
     Contexts.erase(it);
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -69,6 +69,12 @@
   addGauge(out, "children", Control.Children);
   addGauge(out, "root", Control.Root ? 1 : 0);
   addGauge(out, "store_reachable", Control.StoreReachable ? 1 : 0);
+  addGauge(out, "config_deltas_sent", Control.Transfers.Deltas);
+  addGauge(out, "config_snapshots_sent", Control.Transfers.Snapshots);
+  addGauge(out, "config_bytes_sent", Control.Transfers.Bytes);
+  addGauge(out, "link_failures", Control.LinkFailures);
+  addGauge(out, "control_longest_stall_ms", Control.LongestStall);
+  addGauge(out, "traffic_longest_stall_ms", LongestStall);
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
   addGauge(out, "process_cpu_us", microseconds(usage.ru_utime) + microseconds(usage.ru_stime));
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -27,6 +27,8 @@
   void recordRetry() { ++Retries; }
   void recordGateRefusal(Refusal refusal);
   void setControlFigures(const ControlFigures &figures) { Control = figures; }
+  /// @param longest longest lateness of the traffic task's event loop.
+  void setLongestStall(DurationMs longest) { LongestStall = longest; }
 
   /// @returns all metrics in the Prometheus text format.
   std::string text() const;
@@ -47,6 +49,7 @@
   std::map<std::string, Latency> Latencies;
   std::map<Refusal, std::uint64_t> GateRefusals;
   std::uint64_t Retries = 0;
+  DurationMs LongestStall = 0;
   ControlFigures Control;
 };
 
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -58,7 +58,7 @@
                                                          EVHTTP_REQ_POST | EVHTTP_REQ_DELETE |
                                                          EVHTTP_REQ_HEAD);
   evhttp_set_gencb(ManagementServer.get(), onManagement, this);
-  HeartbeatTimer.start(HeartbeatCheckPeriod);
+  startHeartbeatTimer();
 }
 
 TrafficTask::~TrafficTask() {
@@ -265,8 +265,18 @@
   Control.put(UpstreamAnnounced{upstream, draining});
 }
 
-void TrafficTask::checkHeartbeat() {
+void TrafficTask::startHeartbeatTimer() {
+  HeartbeatCheckDue = steadyClockMs() + HeartbeatCheckPeriod;
   HeartbeatTimer.start(HeartbeatCheckPeriod);
+}
+
+void TrafficTask::checkHeartbeat() {
+  const DurationMs late = Stalls.recordFired(HeartbeatCheckDue, steadyClockMs());
+  Stats.setLongestStall(Stalls.longest());
+  if (late != 0)
+    Control.put(
+        TrafficTimelineEvent{"main", "traffic loop", absl::StrCat("stalled for ", late, " ms")});
+  startHeartbeatTimer();
   if (AnnouncedUpstream.checkTimeout(steadyClockMs()))
     applyAnnouncement();
 }
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "environment.h"
+#include "stall_watch.h"
 #include "traffic/announcement.h"
 #include "traffic/gate_task.h"
 #include "traffic/ingress_task.h"
@@ -56,6 +57,7 @@
   ManagementResponse handleManagement(const InvalidCall &call);
   void applyAnnouncement();
   void advanceDrain();
+  void startHeartbeatTimer();
   void checkHeartbeat();
   static void onManagement(evhttp_request *request, void *arg);
   static void onWatchChunk(evhttp_request *request, void *arg);
@@ -81,6 +83,8 @@
   bool Draining = false;
   bool GateClosed = false; ///< While draining: the gate refuses new requests.
   TimeMs DrainSince = 0;
+  StallWatch Stalls;
+  TimeMs HeartbeatCheckDue = 0;
   Timer DrainTimer;
   Timer HeartbeatTimer;
   std::string Error;
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -147,6 +147,10 @@
           from.getVersion(),        wireText(from.getText())};
 }
 
+std::uint64_t wireBytes(wire::ConfigUpdate::Reader config) {
+  return config.totalSize().wordCount * sizeof(capnp::word);
+}
+
 void writeExchange(wire::Exchange::Builder to, const ExchangeMessage &message) {
   to.setHost(message.Host.str());
   to.setIncarnation(message.Incarnation);
