Fetch a configuration once, from one peer at a time, instead of sending it over every link

Cause: each node that held a version sent it, unasked, over every link whose peer seemed to lack it, and again after 1 s without an acknowledgement. Links and calls had fixed timeouts of 0.5 to 1.3 s, shorter than such a transfer over 10 Mbit/s beside the requests, so the transfer was given up, the link declared failed, and the version sent whole by the next parent. The class of fault is a bulk transfer that is repeated while it is in progress and that counts as silence.

Ruled out: the processor (event loops late by 222 ms at most).

Now nodes state the version that they hold, and a node that lacks it fetches it by a call of its own: one fetch at a time (ConfigFetch), a failed one from another peer, an update encoded and compressed once per base version.

mesh_test: a fetch is a third place for each message fault; the tests of deltas in messages became tests of fetches.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -139,14 +139,9 @@
   joinMessage.Incarnation = 5;
   joinMessage.Joining = true;
   node.receiveMessage(joinMessage, 1);
-  const std::size_t snapshotBytes = wireBytes([&] {
-    ExchangeMessage message;
-    message.Config = node.config().deltaFrom(0, 0);
-    return message;
-  }());
-  ExchangeMessage idleMessage = node.buildMessage(child, false, 2);
+  const std::size_t snapshotBytes = node.config().encodedDeltaFrom(0, 0)->Bytes.size();
+  ExchangeMessage idleMessage = node.buildMessage(child, false);
   idleMessage.Records = {};
-  idleMessage.Config.reset();
   const std::size_t idleBytes = wireBytes(idleMessage);
   double positionSeconds = steadySeconds();
   const TreePosition treePosition = node.treePosition();
@@ -156,9 +151,7 @@
   double diffSeconds = steadySeconds();
   const ConfigDelta delta = diffSnapshots(held.get(), *makeTestSnapshot(Services, 2, "service-7"));
   diffSeconds = steadySeconds() - diffSeconds;
-  ExchangeMessage routeChange = idleMessage;
-  routeChange.Config = delta;
-  const std::size_t routeChangeBytes = wireBytes(routeChange) - idleBytes;
+  const std::size_t routeChangeBytes = encodeDelta(delta).Bytes.size();
   double applySeconds = steadySeconds();
   node.applyConfig(delta);
   applySeconds = steadySeconds() - applySeconds;
--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -149,8 +149,8 @@
   tableDigest @8 :UInt64;
   progress @9 :List(RolloutProgress);
   summary @10 :SubtreeSummary;
-  config @11 :ConfigUpdate;
-  wantFull @12 :Bool;          # The sender could not apply a delta and needs a full snapshot.
+  unused1 @11 :ConfigUpdate;   # Replaced by Peer.config.
+  unused2 @12 :Bool;
   joining @13 :Bool;           # The sender is a child of the receiver and sends it a summary.
   seenIncarnation @14 :UInt64; # Incarnation of the receiver that seenCursor belongs to.
 }
@@ -182,6 +182,9 @@
   evidence @1 (reports :List(EvidenceReport)) -> (progress :List(RolloutProgress));
   floor @2 (host :Text) -> (version :UInt64);
   ping @3 () -> (host :Text, incarnation :UInt64);
+  config @4 (heldVersion :UInt64, heldDigest :UInt64) -> (update :Data);
+  # The configuration of the receiver as a compressed ConfigUpdate against the version that the caller holds;
+  # heldVersion 0: a full snapshot. Empty if the receiver holds none.
 }
 
 # --- Operators ---
--- a/src/config/config_holder.cpp
+++ b/src/config/config_holder.cpp
@@ -32,6 +32,7 @@
       RecentSnapshots.pop_back();
   }
   Held = *std::move(staged);
+  EncodedDeltas.clear();
   return OfferResult::Applied;
 }
 
@@ -42,14 +43,27 @@
 
 void ConfigHolder::observeVersion(ConfigVersion version) { Known = std::max(Known, version); }
 
-ConfigDelta ConfigHolder::deltaFrom(ConfigVersion version, std::uint64_t digest) const {
-  if (!Held)
-    return {};
+const Snapshot *ConfigHolder::recentSnapshot(ConfigVersion version, std::uint64_t digest) const {
   for (const SnapshotPtr &base : RecentSnapshots) {
     if (base->Version == version && base->Digest == digest)
-      return diffSnapshots(base.get(), *Held);
+      return base.get();
   }
-  return diffSnapshots(nullptr, *Held);
+  return nullptr;
+}
+
+ConfigDelta ConfigHolder::deltaFrom(ConfigVersion version, std::uint64_t digest) const {
+  return Held ? diffSnapshots(recentSnapshot(version, digest), *Held) : ConfigDelta{};
+}
+
+std::shared_ptr<const EncodedDelta> ConfigHolder::encodedDeltaFrom(ConfigVersion version,
+                                                                   std::uint64_t digest) {
+  if (!Held)
+    return std::make_shared<const EncodedDelta>();
+  const Snapshot *base = recentSnapshot(version, digest);
+  std::shared_ptr<const EncodedDelta> &encoded = EncodedDeltas[base == nullptr ? 0 : base->Version];
+  if (!encoded)
+    encoded = std::make_shared<const EncodedDelta>(encodeDelta(diffSnapshots(base, *Held)));
+  return encoded;
 }
 
 } // namespace jasmineloom
--- a/src/config/config_holder.h
+++ b/src/config/config_holder.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "config/config_func.h"
+#include "config/delta_codec.h"
 
 #include <deque>
+#include <map>
+#include <memory>
 
 namespace jasmineloom {
 
@@ -42,9 +45,16 @@
   /// @param digest digest of that version; a mismatch makes the delta full.
   ConfigDelta deltaFrom(ConfigVersion version, std::uint64_t digest) const;
 
+  /// @returns the encoding of deltaFrom(); it is computed once per base version.
+  std::shared_ptr<const EncodedDelta> encodedDeltaFrom(ConfigVersion version, std::uint64_t digest);
+
 private:
+  const Snapshot *recentSnapshot(ConfigVersion version, std::uint64_t digest) const;
+
   SnapshotPtr Held;
   std::deque<SnapshotPtr> RecentSnapshots; ///< Base snapshots for deltas, newest first.
+  /// Encoded deltas to the held snapshot, by base version; 0: the full snapshot.
+  std::map<ConfigVersion, std::shared_ptr<const EncodedDelta>> EncodedDeltas;
   ConfigVersion Floor = 0;
   ConfigVersion Known = 0;
   std::string LastError;
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -56,8 +56,7 @@
 // --- Reading the operators' document ---
 
 kj::Promise<void> ControlTask::documentLoop() {
-  const bool shouldRead = Position.Root || allLinksSilent(steadyClockMs());
-  if (!shouldRead) {
+  if (!readsDocument(steadyClockMs())) {
     DocumentRead.Listed = false;
     return timer().afterDelay(Settings.Times.ExchangeHold * kj::MILLISECONDS).then([this] {
       return documentLoop();
@@ -149,6 +148,10 @@
   propagateChanges(changes);
 }
 
+bool ControlTask::readsDocument(TimeMs now) const {
+  return Settings.Env.Document.has_value() && (Position.Root || allLinksSilent(now));
+}
+
 bool ControlTask::allLinksSilent(TimeMs now) const {
   const DurationMs timeout = Settings.Times.ExchangeHold + Settings.Times.LinkResponseTimeout;
   for (const auto &[peer, link] : Links) {
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -152,7 +152,7 @@
     auto contact = Peers.get(seed).then([this](std::shared_ptr<PeerConnection> connection) {
       auto request = connection->Peer.exchangeRequest();
       const HostID unknownPeer;
-      ExchangeMessage hello = Node.buildMessage(unknownPeer, false, steadyClockMs());
+      ExchangeMessage hello = Node.buildMessage(unknownPeer, false);
       hello.SeenCursor = 0;
       writeExchange(request.initMessage(), hello);
       return request.send().then([this, connection](auto &&response) {
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -27,12 +27,6 @@
 /// machine.
 constexpr DurationMs MinSuspendedTime = 300;
 
-std::string transferText(const ConfigDelta &delta, std::uint64_t bytes) {
-  return absl::StrCat(delta.BaseVersion == 0 ? "whole"
-                                             : absl::StrCat("delta to version ", delta.BaseVersion),
-                      ", ", delta.Upserts.size(), " objects, ", bytes, " bytes");
-}
-
 } // namespace
 
 class ControlTask::ErrorHandler final : public kj::TaskSet::ErrorHandler {
@@ -44,7 +38,8 @@
 
 ControlTask::ControlTask(ControlSettings settings, TrafficMailbox &traffic, ControlMailbox &inbox)
     : Settings(std::move(settings)), Traffic(traffic), Inbox(inbox), Io(kj::setupAsyncIo()),
-      Node(Settings.Identity, steadyClockMs(), Settings.Times.ChildTimeout, Settings.Tree),
+      Node(Settings.Identity, steadyClockMs(), Settings.Times.ChildTimeout, Settings.Tree,
+           Settings.Times.LinkRetryDelay),
       Store(traffic, Settings.Env.Store), Peers(Io, Settings.Secret, Settings.Identity.Host, Bytes),
       Random(Settings.RandomSeed), StartTime(steadyClockMs()), Errors(kj::heap<ErrorHandler>()),
       Tasks(kj::heap<kj::TaskSet>(*Errors)) {
@@ -127,18 +122,12 @@
   LOG4CXX_INFO(loggerOf(kind.c_str()), subject << ": " << text);
 }
 
-void ControlTask::recordConfigSent(const HostID &peer, const ConfigDelta &delta,
-                                   std::uint64_t bytes) {
-  ++(delta.BaseVersion == 0 ? Transfers.Snapshots : Transfers.Deltas);
-  Transfers.Bytes += bytes;
-  recordEvent("config", absl::StrCat("version ", delta.Version),
-              absl::StrCat("sent to ", peer.str(), ": ", transferText(delta, bytes)));
-}
-
-void ControlTask::recordConfigReceived(const HostID &peer, const ConfigDelta &delta,
-                                       std::uint64_t bytes) {
-  recordEvent("config", absl::StrCat("version ", delta.Version),
-              absl::StrCat("received from ", peer.str(), ": ", transferText(delta, bytes)));
+void ControlTask::recordConfigSent(const HostID &peer, const EncodedDelta &update) {
+  ++(update.BaseVersion == 0 ? Transfers.Snapshots : Transfers.Deltas);
+  Transfers.Bytes += update.Bytes.size();
+  recordEvent("config", absl::StrCat("version ", update.Version),
+              absl::StrCat("sent to ", peer.str(), ": ",
+                           transferText(update.BaseVersion, update.Objects, update.Bytes.size())));
 }
 
 // --- Messages from the traffic task ---
@@ -230,6 +219,7 @@
     scheduleTreeUpdate();
   releaseHeldExchanges();
   sendPendingUpdates();
+  fetchConfig();
 }
 
 bool ControlTask::mayServe() const {
@@ -263,7 +253,7 @@
 }
 
 kj::Promise<void> ControlTask::waitForUpdates(const HostID &peer, DurationMs hold) {
-  if (hold == 0 || Node.hasUpdatesFor(peer, false, steadyClockMs()))
+  if (hold == 0 || Node.hasUpdatesFor(peer, false))
     return kj::READY_NOW;
   auto pair = kj::newPromiseAndFulfiller<void>();
   HeldExchanges.push_back({peer, kj::mv(pair.fulfiller)});
@@ -271,16 +261,15 @@
 }
 
 void ControlTask::releaseHeldExchanges() {
-  const TimeMs now = steadyClockMs();
   std::vector<HeldExchange> stillHeld;
   for (HeldExchange &held : HeldExchanges) {
     if (!held.Fulfiller->isWaiting())
       continue;
-    if (!Node.hasUpdatesFor(held.Peer, false, now)) {
+    if (!Node.hasUpdatesFor(held.Peer, false)) {
       stillHeld.push_back(kj::mv(held));
       continue;
     }
-    const DurationMs delay = Node.hasOnlyRecordsFor(held.Peer, false, now) ? RecordBatchDelay : 0;
+    const DurationMs delay = Node.hasOnlyRecordsFor(held.Peer, false) ? RecordBatchDelay : 0;
     if (delay == 0) {
       held.Fulfiller->fulfill();
       continue;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -72,9 +72,7 @@
   /// Adds a gate's report to the evidence on a rollout that this host controls.
   void recordEvidence(const EvidenceReport &report);
   /// Logs and counts a configuration that was sent to a peer.
-  void recordConfigSent(const HostID &peer, const ConfigDelta &delta, std::uint64_t bytes);
-  /// Logs a configuration that a peer sent, with its size on the wire.
-  void recordConfigReceived(const HostID &peer, const ConfigDelta &delta, std::uint64_t bytes);
+  void recordConfigSent(const HostID &peer, const EncodedDelta &update);
   /// Starts draining this host.
   /// @param cause initiator, for the time line.
   void drain(const std::string &cause);
@@ -140,6 +138,10 @@
   kj::Promise<void> advanceChange(std::shared_ptr<ChangeCommand> command, ChangeStep step,
                                   std::shared_ptr<ChangeOutcome> outcome);
   kj::Promise<void> probeHost();
+  /// Fetches a newer configuration from a peer, if there is one and no fetch is in progress.
+  void fetchConfig();
+  kj::Promise<void> fetchConfigFrom(const HostID &source, const std::string &address);
+  void receiveConfig(const HostID &source, capnp::Data::Reader update);
   kj::Promise<void> recordRolloutEnd(const RolloutSpec &spec, const RolloutProgress &progress);
   void publishView();
   void schedulePublish(DurationMs delay);
@@ -180,6 +182,8 @@
   void releaseHeldExchanges();
   bool mayServe() const;
   bool failedRecently(const HostID &peer) const;
+  /// @returns whether this node reads the operators' document itself.
+  bool readsDocument(TimeMs now) const;
 
   ControlSettings Settings;
   TrafficMailbox &Traffic;
--- /dev/null
+++ b/src/mesh/config_fetch.cpp
@@ -0,0 +1,57 @@
+/// @file config_fetch.cpp Decides from which peer a node fetches a newer configuration.
+#include "mesh/config_fetch.h"
+
+#include <tuple>
+
+namespace jasmineloom {
+
+namespace {
+
+/// Retry delays after which a peer whose configuration was refused is asked again. It is probably
+/// refused again until the peer holds another version.
+constexpr DurationMs RefusedDelayFactor = 20;
+
+/// Orders offers: the own data centre first, then parents, then the newest version, then the first.
+bool isBetter(const ConfigOffer &left, const ConfigOffer &right) {
+  return std::tuple(!left.Local, left.IsChild, right.Version, left.KnownSince) <
+         std::tuple(!right.Local, right.IsChild, left.Version, right.KnownSince);
+}
+
+} // namespace
+
+std::optional<HostID> ConfigFetch::start(const std::vector<ConfigOffer> &offers, DurationMs minAge,
+                                         TimeMs now) {
+  if (inProgress())
+    return std::nullopt;
+  std::erase_if(AvoidedUntil, [now](const auto &it) { return now >= it.second; });
+  const ConfigOffer *best = nullptr;
+  for (const ConfigOffer &offer : offers) {
+    if (AvoidedUntil.contains(offer.Peer) || now < offer.KnownSince + minAge)
+      continue;
+    if (best == nullptr || isBetter(offer, *best))
+      best = &offer;
+  }
+  if (best == nullptr)
+    return std::nullopt;
+  Current = *best;
+  return Current->Peer;
+}
+
+void ConfigFetch::end(ConfigVersion held, TimeMs now) {
+  if (!Current.has_value())
+    return;
+  if (held < Current->Version)
+    AvoidedUntil[Current->Peer] = now + RetryDelay;
+  else
+    AvoidedUntil.erase(Current->Peer);
+  Current.reset();
+}
+
+void ConfigFetch::endRefused(TimeMs now) {
+  if (!Current.has_value())
+    return;
+  AvoidedUntil[Current->Peer] = now + RefusedDelayFactor * RetryDelay;
+  Current.reset();
+}
+
+} // namespace jasmineloom
--- a/src/mesh/link_task.cpp
+++ b/src/mesh/link_task.cpp
@@ -36,22 +36,16 @@
 
 kj::Promise<void> LinkTask::exchange(DurationMs hold) {
   auto request = Connection->Peer.exchangeRequest();
-  const ExchangeMessage message = Control.node().buildMessage(Peer, Joining, steadyClockMs());
-  auto to = request.initMessage();
-  writeExchange(to, message);
-  if (message.Config.has_value())
-    Control.recordConfigSent(Peer, *message.Config, wireBytes(to.getConfig().asReader()));
+  writeExchange(request.initMessage(), Control.node().buildMessage(Peer, Joining));
   request.setHoldMs(static_cast<std::uint32_t>(hold));
-  auto sent = request.send();
-  return Control.timer()
-      .timeoutAfter((hold + Control.settings().Times.LinkResponseTimeout) * kj::MILLISECONDS,
-                    sent.then([](auto &&response) { return kj::mv(response); }))
+  kj::Promise<capnp::Response<wire::Peer::ExchangeResults>> sent = request.send();
+  return failOnSilence(Control.timer(), Connection,
+                       hold + Control.settings().Times.LinkResponseTimeout, steadyClockMs(),
+                       kj::mv(sent))
       .then([this](capnp::Response<wire::Peer::ExchangeResults> response) {
-        const ExchangeMessage received = readExchange(response.getMessage());
-        if (received.Config.has_value())
-          Control.recordConfigReceived(Peer, *received.Config,
-                                       wireBytes(response.getMessage().getConfig()));
-        Control.propagateChanges(Control.node().receiveMessage(received, steadyClockMs()));
+        const StateChanges changes =
+            Control.node().receiveMessage(readExchange(response.getMessage()), steadyClockMs());
+        Control.propagateChanges(changes);
       });
 }
 
@@ -59,19 +53,17 @@
   if (!Connection || !Joining)
     return kj::READY_NOW;
   auto request = Connection->Peer.exchangeRequest();
-  writeExchange(request.initMessage(), Control.node().buildMessage(Peer, false, steadyClockMs()));
+  writeExchange(request.initMessage(), Control.node().buildMessage(Peer, false));
   return request.send().ignoreResult().attach(kj::cp(Connection));
 }
 
 kj::Promise<void> LinkTask::sendUpdates() {
-  const TimeMs now = steadyClockMs();
-  const DurationMs delay =
-      Control.node().hasOnlyRecordsFor(Peer, Joining, now) ? RecordBatchDelay : 0;
+  const DurationMs delay = Control.node().hasOnlyRecordsFor(Peer, Joining) ? RecordBatchDelay : 0;
   return Control.timer()
       .afterDelay(delay * kj::MILLISECONDS)
       .then([this] { return exchange(0); })
       .then([this]() -> kj::Promise<void> {
-        if (Control.node().hasUpdatesFor(Peer, Joining, steadyClockMs()))
+        if (Control.node().hasUpdatesFor(Peer, Joining))
           return sendUpdates();
         SendActive = false;
         return kj::READY_NOW;
@@ -79,7 +71,7 @@
 }
 
 void LinkTask::sendPending() {
-  if (!Connection || SendActive || !Control.node().hasUpdatesFor(Peer, Joining, steadyClockMs()))
+  if (!Connection || SendActive || !Control.node().hasUpdatesFor(Peer, Joining))
     return;
   SendActive = true;
   SendPromise = sendUpdates().eagerlyEvaluate([this](kj::Exception &&exception) {
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -19,8 +19,10 @@
 constexpr std::size_t SmallMeshSize = 3;
 } // namespace
 
-MeshNode::MeshNode(NodeIdentity identity, TimeMs now, DurationMs childTimeout, TreeShape shape)
-    : Identity(std::move(identity)), SilenceTimeout(childTimeout), Shape(shape) {
+MeshNode::MeshNode(NodeIdentity identity, TimeMs now, DurationMs childTimeout, TreeShape shape,
+                   DurationMs fetchRetryDelay)
+    : Identity(std::move(identity)), SilenceTimeout(childTimeout), Shape(shape),
+      Fetch(fetchRetryDelay) {
   Self.Host = Identity.Host;
   Self.Incarnation = Identity.Incarnation;
   Self.Sequence = 1;
@@ -30,12 +32,9 @@
   Hosts.merge(Self, Identity.Host, now);
 }
 
-bool MeshNode::hasConfigFor(const Link &link, TimeMs now) const {
-  if (!link.HasReceived || link.PeerHeldVersion >= Config.heldVersion())
-    return false;
-  const bool inFlight = link.SentVersion == Config.heldVersion() && !link.PeerWantsFull &&
-                        now < link.SentConfigAt + ConfigResendDelay;
-  return !inFlight;
+bool MeshNode::hasNewVersionFor(const Link &link) const {
+  return link.HasReceived && link.PeerHeldVersion < Config.heldVersion() &&
+         link.SentHeldVersion < Config.heldVersion();
 }
 
 bool MeshNode::hasProgressOrSummaryFor(const Link &link, bool joining) const {
@@ -44,35 +43,35 @@
   return joining && link.SentSummary != summary();
 }
 
-bool MeshNode::hasUpdatesFor(const HostID &peer, bool joining, TimeMs now) const {
+bool MeshNode::hasUpdatesFor(const HostID &peer, bool joining) const {
   const auto it = Links.find(peer);
   if (it == Links.end())
     return true;
   const Link &link = it->second;
-  if (hasConfigFor(link, now) || hasProgressOrSummaryFor(link, joining))
+  if (hasNewVersionFor(link) || hasProgressOrSummaryFor(link, joining))
     return true;
   return Hosts.hasChangesSince(std::max(link.SentCursor, link.AckedCursor), peer);
 }
 
-bool MeshNode::hasOnlyRecordsFor(const HostID &peer, bool joining, TimeMs now) const {
+bool MeshNode::hasOnlyRecordsFor(const HostID &peer, bool joining) const {
   const auto it = Links.find(peer);
-  return it != Links.end() && !hasConfigFor(it->second, now) &&
+  return it != Links.end() && !hasNewVersionFor(it->second) &&
          !hasProgressOrSummaryFor(it->second, joining);
 }
 
-ExchangeMessage MeshNode::buildMessage(const HostID &peer, bool joining, TimeMs now) {
+ExchangeMessage MeshNode::buildMessage(const HostID &peer, bool joining) {
   Link &link = Links[peer];
   ExchangeMessage message;
   message.Host = Identity.Host;
   message.Incarnation = Identity.Incarnation;
   message.HeldVersion = Config.heldVersion();
+  link.SentHeldVersion = message.HeldVersion;
   message.HeldDigest = Config.heldDigest();
   message.KnownVersion = Config.knownVersion();
   message.TableDigest = Hosts.digest();
   message.SeenCursor = link.ReceivedCursor;
   message.SeenIncarnation = link.PeerIncarnation;
   message.Joining = joining;
-  message.WantFull = WantFull;
   const bool resend = link.AckedCursor < link.ResendUntil;
   HostBatch batch =
       Hosts.changesSince(link.AckedCursor, resend ? HostID() : peer, MaxRecordsPerMessage);
@@ -86,31 +85,55 @@
   }
   message.Summary = summary();
   link.SentSummary = message.Summary;
-  if (hasConfigFor(link, now)) {
-    const bool full = link.PeerWantsFull;
-    message.Config =
-        full ? Config.deltaFrom(0, 0) : Config.deltaFrom(link.PeerHeldVersion, link.PeerHeldDigest);
-    link.SentVersion = Config.heldVersion();
-    link.SentConfigAt = now;
-    link.PeerWantsFull = false;
-  }
   return message;
 }
 
-void MeshNode::receiveConfig(const ExchangeMessage &message, Link &link, StateChanges &changes) {
+void MeshNode::receiveHeldVersion(const ExchangeMessage &message, Link &link, TimeMs now) {
   Config.observeVersion(message.KnownVersion);
+  if (message.HeldVersion > link.PeerHeldVersion)
+    link.PeerHeldSince = now;
   if (message.HeldVersion >= link.PeerHeldVersion) {
     link.PeerHeldVersion = message.HeldVersion;
     link.PeerHeldDigest = message.HeldDigest;
   }
-  link.PeerWantsFull = message.WantFull;
   ConfigVersion &acknowledged = AckedVersions[message.Host];
   acknowledged = std::max(acknowledged, message.HeldVersion);
-  if (!message.Config.has_value())
-    return;
-  const OfferResult result = applyConfig(*message.Config);
+}
+
+std::vector<ConfigOffer> MeshNode::configOffers() const {
+  std::vector<ConfigOffer> offers;
+  for (const auto &[peer, link] : Links) {
+    const HostRecord *record = Hosts.find(peer);
+    const bool newer = link.HasReceived && link.PeerHeldVersion > Config.heldVersion() &&
+                       link.PeerHeldVersion >= Config.floorVersion();
+    if (!newer || record == nullptr || record->State == HostState::Gone)
+      continue;
+    offers.push_back({peer, link.PeerHeldVersion, link.PeerHeldSince,
+                      record->DataCentre == Identity.DataCentre, link.IsChild});
+  }
+  return offers;
+}
+
+std::optional<HostID> MeshNode::startFetch(DurationMs minAge, TimeMs now) {
+  return Fetch.inProgress() ? std::nullopt : Fetch.start(configOffers(), minAge, now);
+}
+
+HeldConfig MeshNode::heldForFetch() const {
+  return WantFull ? HeldConfig{} : HeldConfig{Config.heldVersion(), Config.heldDigest()};
+}
+
+StateChanges MeshNode::finishFetch(const ConfigDelta &delta, TimeMs now) {
+  const OfferResult result = applyConfig(delta);
+  if (result == OfferResult::Refused)
+    Fetch.endRefused(now);
+  else if (result == OfferResult::NeedFull)
+    Fetch.endForFull();
+  else
+    Fetch.end(Config.heldVersion(), now);
+  StateChanges changes;
   changes.ConfigApplied = result == OfferResult::Applied;
   changes.ConfigRejected = result == OfferResult::Refused;
+  return changes;
 }
 
 OfferResult MeshNode::applyConfig(const ConfigDelta &delta) {
@@ -212,7 +235,7 @@
   link.IsChild = message.Joining;
   link.PeerSummary = message.Summary;
   receiveAck(message, link);
-  receiveConfig(message, link, changes);
+  receiveHeldVersion(message, link, now);
   changes.TableChanged = receiveRecords(message, now);
   link.ReceivedCursor = std::max(link.ReceivedCursor, message.Cursor);
   compareDigests(message, link);
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/config_holder.h"
+#include "mesh/config_fetch.h"
 #include "mesh/host_table.h"
 #include "mesh/mesh_timings.h"
 #include "mesh/tree_func.h"
@@ -35,9 +36,14 @@
   std::uint64_t TableDigest = 0;
   std::vector<RolloutProgress> Progress;
   SubtreeSummary Summary;
-  std::optional<ConfigDelta> Config;
-  bool WantFull = false; ///< The sender could not apply a delta and needs a full snapshot.
-  bool Joining = false;  ///< The sender reports to the receiver as its child.
+  bool Joining = false; ///< The sender reports to the receiver as its child.
+};
+
+/// The configuration that a node holds, stated when it fetches a newer one.
+struct HeldConfig {
+  ConfigVersion Version = 0; ///< 0: none, or a full snapshot is needed.
+  std::uint64_t Digest = 0;
+  auto operator<=>(const HeldConfig &) const = default;
 };
 
 /// Parts of a node's state that a message, a call or an event has changed.
@@ -54,13 +60,12 @@
   std::uint64_t PeerIncarnation = 0;
   ConfigVersion PeerHeldVersion = 0;
   std::uint64_t PeerHeldDigest = 0;
-  bool HasReceived = false; ///< A message of PeerIncarnation has arrived.
-  bool PeerWantsFull = false;
+  TimeMs PeerHeldSince = 0;      ///< When PeerHeldVersion was first received.
+  bool HasReceived = false;      ///< A message of PeerIncarnation has arrived.
   std::uint64_t AckedCursor = 0; ///< Change index up to which the peer has read this node's table.
   std::uint64_t SentCursor = 0;  ///< Change index up to which this node's table was sent.
-  std::uint64_t ReceivedCursor = 0; ///< Change index up to which the peer's table was received.
-  ConfigVersion SentVersion = 0;
-  TimeMs SentConfigAt = 0;
+  std::uint64_t ReceivedCursor = 0;  ///< Change index up to which the peer's table was received.
+  ConfigVersion SentHeldVersion = 0; ///< Held version stated in the last message to the peer.
   std::uint64_t SentProgressEpoch = 0;
   SubtreeSummary SentSummary;
   SubtreeSummary PeerSummary;
@@ -83,8 +88,8 @@
 
 /// Default time without a message after which a parent declares a child dead.
 constexpr DurationMs ChildTimeout = MeshTimings{}.ChildTimeout;
-/// Time after which an unacknowledged configuration is sent again.
-constexpr DurationMs ConfigResendDelay = 1 * MsPerSecond;
+/// Default time for which a peer is avoided after a configuration could not be fetched from it.
+constexpr DurationMs FetchRetryDelay = MeshTimings{}.LinkRetryDelay;
 /// Maximum number of host records in one message.
 constexpr std::size_t MaxRecordsPerMessage = 2000;
 /// Maximum number of hosts in SubtreeSummary::Laggards.
@@ -96,21 +101,35 @@
 public:
   /// @param childTimeout time without a message after which a child is declared dead.
   MeshNode(NodeIdentity identity, TimeMs now, DurationMs childTimeout = ChildTimeout,
-           TreeShape shape = {});
+           TreeShape shape = {}, DurationMs fetchRetryDelay = FetchRetryDelay);
 
   /// Builds the next message for a peer and records what was sent.
   /// @param joining whether this node reports to the peer as its child.
-  ExchangeMessage buildMessage(const HostID &peer, bool joining, TimeMs now);
+  ExchangeMessage buildMessage(const HostID &peer, bool joining);
 
   /// Merges a message from a peer. Duplicated, delayed and reordered messages are harmless.
   StateChanges receiveMessage(const ExchangeMessage &message, TimeMs now);
 
   /// @returns whether a message to the peer would contain updates.
-  bool hasUpdatesFor(const HostID &peer, bool joining, TimeMs now) const;
+  bool hasUpdatesFor(const HostID &peer, bool joining) const;
 
   /// @returns whether only host records are pending for the peer; they may be delayed and sent in
   /// batches.
-  bool hasOnlyRecordsFor(const HostID &peer, bool joining, TimeMs now) const;
+  bool hasOnlyRecordsFor(const HostID &peer, bool joining) const;
+
+  /// Starts fetching a newer configuration, unless a fetch is in progress.
+  /// @param minAge time for which it must be known that a peer holds the newer version.
+  /// @returns the peer to fetch from; nullopt if there is nothing to fetch.
+  std::optional<HostID> startFetch(DurationMs minAge, TimeMs now);
+
+  /// @returns what to state in a fetch.
+  HeldConfig heldForFetch() const;
+
+  /// Applies a fetched configuration and ends the fetch.
+  StateChanges finishFetch(const ConfigDelta &delta, TimeMs now);
+
+  /// Ends a fetch that failed.
+  void abandonFetch(TimeMs now) { Fetch.end(Config.heldVersion(), now); }
 
   /// Applies a configuration from a peer, the store or an operator's call.
   OfferResult applyConfig(const ConfigDelta &delta);
@@ -164,9 +183,10 @@
   const HostRecord &self() const { return Self; }
 
 private:
-  bool hasConfigFor(const Link &link, TimeMs now) const;
+  bool hasNewVersionFor(const Link &link) const;
+  std::vector<ConfigOffer> configOffers() const;
   bool hasProgressOrSummaryFor(const Link &link, bool joining) const;
-  void receiveConfig(const ExchangeMessage &message, Link &link, StateChanges &changes);
+  void receiveHeldVersion(const ExchangeMessage &message, Link &link, TimeMs now);
   bool receiveRecords(const ExchangeMessage &message, TimeMs now);
   void compareDigests(const ExchangeMessage &message, Link &link);
   void receiveAck(const ExchangeMessage &message, Link &link) const;
@@ -179,6 +199,7 @@
   DurationMs SilenceTimeout;
   TreeShape Shape;
   ConfigHolder Config;
+  ConfigFetch Fetch;
   HostTable Hosts;
   std::map<RolloutID, RolloutProgress> Progress;
   std::uint64_t ProgressEpoch = 0;
--- a/src/mesh/peer_connection.cpp
+++ b/src/mesh/peer_connection.cpp
@@ -2,6 +2,8 @@
 /// cache.
 #include "mesh/peer_connection.h"
 
+#include "event_util.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -10,6 +12,7 @@
 kj::Promise<size_t> CountingStream::tryRead(void *buffer, size_t minBytes, size_t maxBytes) {
   return Inner->tryRead(buffer, minBytes, maxBytes).then([this](size_t n) {
     Bytes->In += n;
+    LastReceived = steadyClockMs();
     return n;
   });
 }
@@ -66,6 +69,18 @@
   return Io.provider->getTimer().timeoutAfter(ConnectTimeout * kj::MILLISECONDS, kj::mv(opening));
 }
 
+kj::Promise<void> waitForSilence(kj::Timer &timer, std::shared_ptr<PeerConnection> connection,
+                                 DurationMs limit, TimeMs since) {
+  const TimeMs now = steadyClockMs();
+  const TimeMs due = std::max(since, connection->Stream->lastReceived()) + limit;
+  if (now >= due)
+    return kj::READY_NOW;
+  return timer.afterDelay((due - now) * kj::MILLISECONDS)
+      .then([&timer, connection = std::move(connection), limit, since]() mutable {
+        return waitForSilence(timer, std::move(connection), limit, since);
+      });
+}
+
 void PeerCache::drop(const std::string &address) { Open.erase(address); }
 
 } // namespace jasmineloom
--- a/src/mesh/peer_connection.h
+++ b/src/mesh/peer_connection.h
@@ -25,6 +25,8 @@
 public:
   CountingStream(kj::Own<kj::AsyncIoStream> inner, ControlBytes &bytes)
       : Inner(kj::mv(inner)), Bytes(&bytes) {}
+  /// @returns the steady time at which bytes were last received; 0: none yet.
+  TimeMs lastReceived() const { return LastReceived; }
   /// Replaces the counters; bytes counted so far stay in the previous ones.
   void setCounters(ControlBytes &bytes) { Bytes = &bytes; }
   kj::Promise<size_t> tryRead(void *buffer, size_t minBytes, size_t maxBytes) override;
@@ -37,6 +39,7 @@
 private:
   kj::Own<kj::AsyncIoStream> Inner;
   ControlBytes *Bytes;
+  TimeMs LastReceived = 0;
 };
 
 void setNoDelay(kj::AsyncIoStream &stream);
@@ -52,6 +55,22 @@
   wire::Operator::Client Operator = nullptr;
 };
 
+/// Waits until nothing was received on a connection for some time. A response in transit over a
+/// slow link is no silence, whatever its size.
+/// @param since steady time from which silence counts.
+kj::Promise<void> waitForSilence(kj::Timer &timer, std::shared_ptr<PeerConnection> connection,
+                                 DurationMs limit, TimeMs since);
+
+/// Fails a call on a connection after \p limit of silence.
+template <typename T>
+kj::Promise<T> failOnSilence(kj::Timer &timer, const std::shared_ptr<PeerConnection> &connection,
+                             DurationMs limit, TimeMs now, kj::Promise<T> call) {
+  return call.exclusiveJoin(
+      waitForSilence(timer, connection, limit, now).then([limit]() -> kj::Promise<T> {
+        return KJ_EXCEPTION(OVERLOADED, "nothing received", limit);
+      }));
+}
+
 /// Opens connections and shares one per address for as long as it is in use.
 class PeerCache {
 public:
--- a/src/mesh/peer_service.cpp
+++ b/src/mesh/peer_service.cpp
@@ -19,7 +19,7 @@
   if (wireText(params.getHost()) == OperatorClientName)
     Stream.setCounters(Control.operatorBytes());
   auto results = context.getResults();
-  results.setPeer(kj::heap<PeerService>(Control));
+  results.setPeer(kj::heap<PeerService>(Control, HostID(wireText(params.getHost()))));
   results.setOperator(kj::heap<OperatorService>(Control));
   return kj::READY_NOW;
 }
@@ -30,19 +30,12 @@
   const TimeMs now = steadyClockMs();
   if (message.Joining && !Control.node().acceptsChild(message.Host))
     KJ_FAIL_REQUIRE("busy: this node has as many children as it takes");
-  if (message.Config.has_value())
-    Control.recordConfigReceived(message.Host, *message.Config,
-                                 wireBytes(context.getParams().getMessage().getConfig()));
   const StateChanges changes = Control.node().receiveMessage(message, now);
   Control.propagateChanges(changes);
   const HostID peer = message.Host;
   context.releaseParams();
   return Control.waitForUpdates(peer, hold).then([this, peer, context]() mutable {
-    const ExchangeMessage response = Control.node().buildMessage(peer, false, steadyClockMs());
-    auto to = context.getResults().initMessage();
-    writeExchange(to, response);
-    if (response.Config.has_value())
-      Control.recordConfigSent(peer, *response.Config, wireBytes(to.getConfig().asReader()));
+    writeExchange(context.getResults().initMessage(), Control.node().buildMessage(peer, false));
   });
 }
 
@@ -63,6 +56,16 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> PeerService::config(ConfigContext context) {
+  const auto params = context.getParams();
+  const std::shared_ptr<const EncodedDelta> update =
+      Control.node().config().encodedDeltaFrom(params.getHeldVersion(), params.getHeldDigest());
+  Control.recordConfigSent(Caller, *update);
+  context.getResults().setUpdate(
+      kj::arrayPtr(reinterpret_cast<const kj::byte *>(update->Bytes.data()), update->Bytes.size()));
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> PeerService::ping(PingContext context) {
   context.getResults().setHost(Control.node().identity().Host.str());
   context.getResults().setIncarnation(Control.node().identity().Incarnation);
--- a/src/mesh/peer_service.h
+++ b/src/mesh/peer_service.h
@@ -20,14 +20,17 @@
 /// Calls from other nodes.
 class PeerService final : public wire::Peer::Server {
 public:
-  explicit PeerService(ControlTask &control) : Control(control) {}
+  /// @param caller host that opened the connection, for the log.
+  PeerService(ControlTask &control, HostID caller) : Control(control), Caller(std::move(caller)) {}
   kj::Promise<void> exchange(ExchangeContext context) override;
   kj::Promise<void> evidence(EvidenceContext context) override;
   kj::Promise<void> floor(FloorContext context) override;
   kj::Promise<void> ping(PingContext context) override;
+  kj::Promise<void> config(ConfigContext context) override;
 
 private:
   ControlTask &Control;
+  HostID Caller;
 };
 
 } // namespace jasmineloom
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -147,10 +147,6 @@
           from.getVersion(),        wireText(from.getText())};
 }
 
-std::uint64_t wireBytes(wire::ConfigUpdate::Reader config) {
-  return config.totalSize().wordCount * sizeof(capnp::word);
-}
-
 void writeExchange(wire::Exchange::Builder to, const ExchangeMessage &message) {
   to.setHost(message.Host.str());
   to.setIncarnation(message.Incarnation);
@@ -161,7 +157,6 @@
   to.setSeenCursor(message.SeenCursor);
   to.setSeenIncarnation(message.SeenIncarnation);
   to.setTableDigest(message.TableDigest);
-  to.setWantFull(message.WantFull);
   to.setJoining(message.Joining);
   unsigned n = 0;
   if (!message.Records.empty()) {
@@ -176,8 +171,6 @@
       writeProgress(progress[n++], it);
   }
   writeSummary(to.initSummary(), message.Summary);
-  if (message.Config.has_value())
-    writeDelta(to.initConfig(), *message.Config);
 }
 
 ExchangeMessage readExchange(wire::Exchange::Reader from) {
@@ -191,15 +184,12 @@
   message.SeenCursor = from.getSeenCursor();
   message.SeenIncarnation = from.getSeenIncarnation();
   message.TableDigest = from.getTableDigest();
-  message.WantFull = from.getWantFull();
   message.Joining = from.getJoining();
   for (auto record : from.getRecords())
     message.Records.push_back(readRecord(record));
   for (auto progress : from.getProgress())
     message.Progress.push_back(readProgress(progress));
   message.Summary = readSummary(from.getSummary());
-  if (from.hasConfig())
-    message.Config = readDelta(from.getConfig());
   return message;
 }
 
--- a/src/wire_func.h
+++ b/src/wire_func.h
@@ -8,8 +8,6 @@
 
 namespace jasmineloom {
 
-/// @returns the size of a configuration update in a message.
-std::uint64_t wireBytes(wire::ConfigUpdate::Reader config);
 void writeExchange(wire::Exchange::Builder to, const ExchangeMessage &message);
 ExchangeMessage readExchange(wire::Exchange::Reader from);
 void writeRecord(wire::HostRecord::Builder to, const HostRecord &record);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -24,6 +24,9 @@
 constexpr MessageFault AllMessageFaults[] = {MessageFault::Lost, MessageFault::Duplicated,
                                              MessageFault::Delayed, MessageFault::Reordered};
 
+/// Part of an exchange that a message fault affects.
+enum class FaultPlace : std::uint8_t { Request, Response, Fetch };
+
 /// Fault of one node before an exchange.
 enum class NodeFault : std::uint8_t { None, Killed, Paused };
 
@@ -47,13 +50,43 @@
 
   MeshNode &node(const std::string &name) { return *Nodes.at(name); }
 
-  /// One exchange from a child to its parent, with a fault of the request and of the response.
+  /// One exchange from a child to its parent, with a fault of the request and of the response, and
+  /// a fetch of the configuration that the child then lacks, with a fault of its own.
   void exchange(const std::string &child, const std::string &parent, MessageFault request,
-                MessageFault response) {
+                MessageFault response, MessageFault fetchFault = MessageFault::None) {
     Now += ExchangePeriod;
-    if (!send(node(child).buildMessage(HostID(parent), true, Now), parent, request))
-      return;
-    send(node(parent).buildMessage(HostID(child), false, Now), child, response);
+    if (send(node(child).buildMessage(HostID(parent), true), parent, request))
+      send(node(parent).buildMessage(HostID(child), false), child, response);
+    fetch(child, fetchFault);
+  }
+
+  /// Fetches a configuration under a fault. A delayed or reordered one arrives after the next one,
+  /// when its fetch was abandoned.
+  void fetch(const std::string &name, MessageFault fault) {
+    const auto due = std::exchange(DelayedUpdates, {});
+    const std::optional<HostID> source = node(name).startFetch(0, Now);
+    const bool hasConfig = source.has_value() && node(source->str()).config().heldVersion() != 0;
+    if (source.has_value() && !hasConfig)
+      node(name).abandonFetch(Now);
+    if (hasConfig) {
+      const ConfigDelta update = fetchedUpdate(name, source->str());
+      const bool arrives = fault == MessageFault::None || fault == MessageFault::Duplicated;
+      if (arrives)
+        node(name).finishFetch(update, Now);
+      else
+        node(name).abandonFetch(Now);
+      if (fault != MessageFault::None && fault != MessageFault::Lost)
+        DelayedUpdates.emplace_back(name, update);
+    }
+    for (const auto &[to, update] : due)
+      node(to).applyConfig(update);
+    checkInvariants();
+  }
+
+  /// @returns what a node gets if it fetches the configuration of another node.
+  ConfigDelta fetchedUpdate(const std::string &name, const std::string &source) {
+    const HeldConfig held = node(name).heldForFetch();
+    return *decodeDelta(node(source).config().encodedDeltaFrom(held.Version, held.Digest)->Bytes);
   }
 
   /// Sends a message under a fault. A delayed message is delivered after the next one; Reordered
@@ -133,6 +166,7 @@
   std::map<std::string, std::unique_ptr<MeshNode>> Nodes;
   std::map<std::string, ConfigVersion> Highest;
   std::vector<std::pair<std::string, ExchangeMessage>> DelayedMessages;
+  std::vector<std::pair<std::string, ConfigDelta>> DelayedUpdates;
   std::uint64_t Incarnations = 0;
 };
 
@@ -159,18 +193,21 @@
   int combinations = 0;
   for (std::size_t step = 0; step < std::size(PropagationExchanges); ++step) {
     for (const MessageFault fault : AllMessageFaults) {
-      for (const bool onResponse : {false, true}) {
-        BOOST_TEST_CONTEXT("step " << step << " fault " << static_cast<int>(fault) << " response "
-                                   << onResponse) {
+      for (const FaultPlace place :
+           {FaultPlace::Request, FaultPlace::Response, FaultPlace::Fetch}) {
+        BOOST_TEST_CONTEXT("step " << step << " fault " << static_cast<int>(fault) << " place "
+                                   << static_cast<int>(place)) {
           Fixture fixture;
           fixture.accept(seededSnapshot(1, 5));
           fixture.converge();
           fixture.accept(seededSnapshot(2, 11));
           for (std::size_t it = 0; it < std::size(PropagationExchanges); ++it) {
-            const MessageFault stepFault = it == step ? fault : MessageFault::None;
+            const auto faultAt = [&](FaultPlace at) {
+              return it == step && place == at ? fault : MessageFault::None;
+            };
             fixture.exchange(PropagationExchanges[it].Child, PropagationExchanges[it].Parent,
-                             onResponse ? MessageFault::None : stepFault,
-                             onResponse ? stepFault : MessageFault::None);
+                             faultAt(FaultPlace::Request), faultAt(FaultPlace::Response),
+                             faultAt(FaultPlace::Fetch));
             if (it == 3)
               fixture.accept(seededSnapshot(3, 19));
           }
@@ -244,7 +281,8 @@
         if (random() % 15 == 0)
           fixture.restart("leaf", {"relay", "other"});
         const MessageFault request = randomFault();
-        fixture.exchange(it.Child, it.Parent, request, randomFault());
+        const MessageFault response = randomFault();
+        fixture.exchange(it.Child, it.Parent, request, response, randomFault());
       }
       ++version;
       fixture.accept(seededSnapshot(version, 42));
@@ -261,12 +299,17 @@
   MeshNode &relay = fixture.node("relay");
   MeshNode &root = fixture.node("root");
   fixture.Now += ExchangePeriod;
-  root.receiveMessage(relay.buildMessage(HostID("root"), true, fixture.Now), fixture.Now);
-  ExchangeMessage response = root.buildMessage(HostID("relay"), false, fixture.Now);
-  BOOST_REQUIRE(response.Config.has_value());
-  response.Config->Upserts.pop_back();
-  relay.receiveMessage(response, fixture.Now);
+  root.receiveMessage(relay.buildMessage(HostID("root"), true), fixture.Now);
+  relay.receiveMessage(root.buildMessage(HostID("relay"), false), fixture.Now);
+  BOOST_REQUIRE(relay.startFetch(0, fixture.Now) == HostID("root"));
+  ConfigDelta corrupt = fixture.fetchedUpdate("relay", "root");
+  BOOST_REQUIRE(corrupt.BaseVersion == 1U);
+  corrupt.Upserts.pop_back();
+  relay.finishFetch(corrupt, fixture.Now);
   BOOST_TEST(relay.config().heldVersion() == 1U);
+  BOOST_REQUIRE(relay.startFetch(0, fixture.Now) == HostID("root"));
+  BOOST_TEST(fixture.fetchedUpdate("relay", "root").BaseVersion == 0U);
+  relay.abandonFetch(fixture.Now);
   checkConverged(fixture, 2);
 }
 
@@ -343,9 +386,8 @@
   fixture.converge();
   for (ConfigVersion version = 1; version <= 100; ++version)
     fixture.accept(seededSnapshot(version, static_cast<std::uint32_t>(version % 64)));
-  const ExchangeMessage message =
-      fixture.node("root").buildMessage(HostID("relay"), false, fixture.Now);
-  BOOST_TEST(message.Config.has_value());
+  const ExchangeMessage message = fixture.node("root").buildMessage(HostID("relay"), false);
+  BOOST_TEST(message.HeldVersion == 100U);
   BOOST_TEST(message.Records.size() <= MaxRecordsPerMessage);
   checkConverged(fixture, 100);
 }
