Let a response of the store take as long as it arrives

Cause: calls to the store had 1 s for the whole response. The operators' document is up to 540 kB on the wire, over links of mostly 10 Mbit/s that requests use too. A node that gave up read the same document again from its first byte.

Now the timeout of a store call counts from the last byte received. The test slow_response_from_the_store_is_not_given_up_while_it_arrives fails without the flag (its first check shows so).

--- a/src/http/http_pool.cpp
+++ b/src/http/http_pool.cpp
@@ -38,6 +38,7 @@
   HttpResponseReader Reader;
   Call *Current = nullptr;
   std::uint64_t BytesOut = 0;
+  bool HasReceived = false; ///< Bytes have arrived since the flag was last cleared.
   TimeMs IdleUntil = 0;
   bool Connected = false;
 };
@@ -52,6 +53,7 @@
   /// No connection attempt could be started. The timeout event fails the call from the event loop.
   bool ConnectFailed = false;
   DurationMs RemainingTimeout = 0; ///< Rest of the call's timeout after the connect timeout.
+  DurationMs SilenceTimeout = 0;   ///< 0: silence of the peer does not matter.
   std::string EchoedField;
   std::string EchoedValue; ///< Empty: any response is accepted.
 };
@@ -132,6 +134,7 @@
   static_cast<void>(bev);
   auto *connection = static_cast<Connection *>(arg);
   // Bytes received on an idle connection belong to no request.
+  connection->HasReceived = true;
   if (connection->Current == nullptr)
     connection->Pool->closeLater(connection);
   else
@@ -230,6 +233,8 @@
   }
   entry.Conn = connection;
   connection->Current = &entry;
+  connection->HasReceived = false;
+  entry.SilenceTimeout = call.TimeoutOnSilence ? call.Timeout : 0;
   entry.BytesBefore = connection->BytesOut;
   const bool connecting = !connection->Connected && call.ConnectTimeout != 0;
   const DurationMs initialTimeout =
@@ -276,6 +281,11 @@
     event_add(call->Timeout.get(), &tv);
     return;
   }
+  if (connected && call->SilenceTimeout != 0 && std::exchange(call->Conn->HasReceived, false)) {
+    const timeval tv = toTimeval(call->SilenceTimeout);
+    event_add(call->Timeout.get(), &tv);
+    return;
+  }
   call->Pool->fail(*call, !call->ConnectFailed);
 }
 
--- a/src/http/http_pool.h
+++ b/src/http/http_pool.h
@@ -24,6 +24,9 @@
   EvBufferPtr Body; ///< May be null.
   DurationMs Timeout = 0;
   DurationMs ConnectTimeout = 0; ///< For a new connection; 0: Timeout applies.
+  /// Timeout limits the silence of the peer and not the whole call, for responses whose size has no
+  /// relation to the time that they may take.
+  bool TimeoutOnSilence = false;
   /// Name of the header field that the peer copies from the request into the response. A response
   /// with a different value belongs to an earlier request on the connection: it is dropped, and the
   /// call keeps waiting for its own response. Empty: responses are not matched.
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -40,8 +40,8 @@
   bool Reachable = false;
 };
 
-/// Response timeout, in addition to the wait of a long-poll watch. The store usually responds
-/// within 4 ms, 1/250 of the timeout.
+/// Time without a byte of the response after which a call fails, in addition to the wait of a
+/// long-poll watch. The store usually responds within 4 ms, 1/250 of the timeout.
 constexpr DurationMs StoreTimeout = 1 * MsPerSecond;
 
 } // namespace jasmineloom
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -115,6 +115,7 @@
     call.Body = makeBuffer(message.Call.Body);
   }
   call.Timeout = message.Timeout;
+  call.TimeoutOnSilence = true;
   StorePool.call(Settings.StoreAddress, std::move(call),
                  [this, number = message.Number](const HttpResult &result) {
                    StoreReply reply;
--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -170,11 +170,13 @@
 };
 
 /// Calls the peer once and waits for the result.
-HttpResult callPeer(HttpPool &pool, event_base *base, DurationMs timeout, std::uint16_t port) {
+HttpResult callPeer(HttpPool &pool, event_base *base, DurationMs timeout, std::uint16_t port,
+                    bool timeoutOnSilence = false) {
   HttpResult received;
   HttpCall call;
   call.Path = "/x";
   call.Timeout = timeout;
+  call.TimeoutOnSilence = timeoutOnSilence;
   pool.call("127.0.0.1:" + std::to_string(port), std::move(call), [&](HttpResult result) {
     received = std::move(result);
     event_base_loopbreak(base);
@@ -413,6 +415,46 @@
   BOOST_TEST(textOf(own.Body.get()) == "yes");
 }
 
+/// A peer that sends a complete response byte by byte to each of several connections in turn.
+class SlowPeer {
+public:
+  SlowPeer(int connections, DurationMs pause) : Listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int on = 1;
+    setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in sin = loopback(PeerPort);
+    BOOST_REQUIRE(bind(Listener, reinterpret_cast<const sockaddr *>(&sin), sizeof(sin)) == 0);
+    listen(Listener, 8);
+    Thread = std::thread([this, connections, pause] {
+      for (int n = 0; n < connections; ++n) {
+        const int fd = accept(Listener, nullptr, nullptr);
+        for (const char byte : CompleteResponse) {
+          static_cast<void>(::send(fd, &byte, 1, MSG_NOSIGNAL));
+          usleep(static_cast<useconds_t>(pause * 1000));
+        }
+        close(fd);
+      }
+    });
+  }
+  ~SlowPeer() {
+    Thread.join();
+    close(Listener);
+  }
+
+private:
+  int Listener;
+  std::thread Thread;
+};
+
+BOOST_AUTO_TEST_CASE(slow_response_from_the_store_is_not_given_up_while_it_arrives) {
+  constexpr DurationMs Pause = 40; // 41 bytes take 1.6 s.
+  constexpr DurationMs Timeout = 1000;
+  const EventBasePtr base = makePreciseBase();
+  HttpPool pool(base.get(), 1000);
+  SlowPeer peer(2, Pause);
+  BOOST_TEST(callPeer(pool, base.get(), Timeout, PeerPort).TimedOut);
+  BOOST_TEST(callPeer(pool, base.get(), Timeout, PeerPort, true).Complete);
+}
+
 struct ResponseCase {
   const char *Name;
   std::string Text;
