Introduce starting nodes without sending them the host table

Seen by callers: after 51 of 90 hosts were replaced within a second, requests at the new hosts were slow for seconds and a new version reached them up to 3.9 s after its acknowledgement (bound 2.5 s).

Cause: a node that knew no other host exchanged messages with all seeds at once, and each message carried the whole host table in both directions; roots did the same with each registered root that they did not know. Its calls then timed out behind these bytes (fetches from eight peers in turn).

Now such a node introduces itself by its own record, to eight seeds at a time, and gets the roots of both data centres and its parents; the table follows over the link to its parent. An isolated node also asks known hosts, and is told which of its parents are gone; before, a node whose three parents were lost together had no way to learn so.

--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -185,6 +185,9 @@
   config @4 (heldVersion :UInt64, heldDigest :UInt64) -> (update :Data);
   # The configuration of the receiver as a compressed ConfigUpdate against the version that the caller holds;
   # heldVersion 0: a full snapshot. Empty if the receiver holds none.
+  introduce @5 (record :HostRecord, parents :List(Text)) -> (records :List(HostRecord));
+  # Announces the caller outside a link. Returns the records by which it finds its parents, and those of the parents
+  # that it names.
 }
 
 # --- Operators ---
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -5,6 +5,9 @@
 #include "mesh/link_task.h"
 #include "wire_func.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace jasmineloom {
 
 namespace {
@@ -13,6 +16,10 @@
 /// Time for which a gone host is still contacted: it may have restarted with no other way to find
 /// the mesh.
 constexpr DurationMs GoneContactTime = 60 * MsPerSecond;
+/// Period in which a node that knows no other host contacts seeds, before jitter.
+constexpr DurationMs AloneSeedPeriod = 300;
+/// Seeds that are contacted at a time; the others follow in later periods.
+constexpr std::size_t MaxSeedContacts = 8;
 
 } // namespace
 
@@ -131,38 +138,69 @@
   const TimeMs now = steadyClockMs();
   if (now < NextSeeds)
     return;
-  NextSeeds = now + Settings.Times.SeedPeriod + randomBelow(Settings.Times.SeedPeriod / 2);
   const bool alone = Node.hosts().size() == 1;
-  if (alone)
-    NextSeeds = now + 300 + randomBelow(300);
-  else if (!Position.Root)
+  // A node without a working link does not learn that its parents are gone.
+  const bool isolated = allLinksSilent(now);
+  if (!Position.Root && !isolated)
     return;
-  std::set<std::string> known;
+  NextSeeds = alone ? now + AloneSeedPeriod + randomBelow(AloneSeedPeriod)
+                    : now + Settings.Times.SeedPeriod + randomBelow(Settings.Times.SeedPeriod / 2);
+  std::vector<std::string> seeds = seedsToContact(isolated, now);
+  std::shuffle(seeds.begin(), seeds.end(), Random);
+  if (seeds.size() > MaxSeedContacts)
+    seeds.resize(MaxSeedContacts);
+  for (const std::string &seed : seeds)
+    spawn(introduceTo(seed), "seed");
+}
+
+std::vector<std::string> ControlTask::seedsToContact(bool isolated, TimeMs now) const {
   std::set<std::string> seeds = DiscoveredSeeds;
   seeds.insert(Settings.Seeds.begin(), Settings.Seeds.end());
+  std::set<std::string> known = {Settings.Identity.RpcAddress};
   Node.hosts().forEach([&](const HostRecord &record, TimeMs goneAt) {
-    if (record.State != HostState::Gone)
+    const bool gone = record.State == HostState::Gone;
+    if (!gone && !isolated)
       known.insert(record.RpcAddress);
-    else if (now < goneAt + GoneContactTime)
+    else if (!gone || now < goneAt + GoneContactTime)
       seeds.insert(record.RpcAddress);
   });
-  for (const std::string &seed : seeds) {
-    if (known.contains(seed) || seed == Settings.Identity.RpcAddress)
-      continue;
-    auto contact = Peers.get(seed).then([this](std::shared_ptr<PeerConnection> connection) {
-      auto request = connection->Peer.exchangeRequest();
-      const HostID unknownPeer;
-      ExchangeMessage hello = Node.buildMessage(unknownPeer, false);
-      hello.SeenCursor = 0;
-      writeExchange(request.initMessage(), hello);
-      return request.send().then([this, connection](auto &&response) {
-        ExchangeMessage message = readExchange(response.getMessage());
-        Node.dropLink(HostID());
-        propagateChanges(Node.receiveMessage(message, steadyClockMs()));
-      });
+  std::vector<std::string> found;
+  std::set_difference(seeds.begin(), seeds.end(), known.begin(), known.end(),
+                      std::back_inserter(found));
+  return found;
+}
+
+kj::Promise<void> ControlTask::introduceTo(const std::string &address) {
+  return Peers.get(address).then([this](std::shared_ptr<PeerConnection> connection) {
+    auto request = connection->Peer.introduceRequest();
+    writeRecord(request.initRecord(), Node.self());
+    auto parents = request.initParents(static_cast<unsigned>(Position.Parents.size()));
+    unsigned n = 0;
+    for (const HostID &parent : Position.Parents)
+      parents.set(n++, parent.str());
+    return request.send().then([this, connection](auto &&response) {
+      std::vector<HostRecord> records;
+      for (const auto record : response.getRecords())
+        records.push_back(readRecord(record));
+      mergeIntroduction(records, HostID());
     });
-    spawn(kj::mv(contact), "seed");
-  }
+  });
+}
+
+void ControlTask::mergeIntroduction(const std::vector<HostRecord> &records, const HostID &from) {
+  StateChanges changes;
+  changes.TableChanged = Node.mergeRecords(records, from, steadyClockMs());
+  propagateChanges(changes);
+}
+
+std::vector<HostRecord> ControlTask::receiveIntroduction(const HostRecord &stranger,
+                                                         const std::vector<HostID> &requested) {
+  const bool unknown = Node.hosts().find(stranger.Host) == nullptr;
+  mergeIntroduction({stranger}, stranger.Host);
+  // Without a link this node may know of no other host of the mesh.
+  if (unknown && allLinksSilent(steadyClockMs()))
+    spawn(introduceTo(stranger.RpcAddress), "seed");
+  return Node.introductionFor(stranger, requested);
 }
 
 kj::Promise<void> ControlTask::probeHost() {
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -67,7 +67,7 @@
     const bool alone = Node.hosts().size() == 1;
     NextDiscovery = now + (alone ? Settings.Times.BootstrapDelay : Settings.Times.DiscoveryPeriod) +
                     randomBelow(Settings.Times.BootstrapDelay);
-    if (alone || Position.Root)
+    if (Position.Root || allLinksSilent(now))
       spawn(discoverRoots(), "discovery");
   }
   // A node without known peers waits for BootstrapDelay before it acts as a root. Without seeds it
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -73,6 +73,10 @@
   void recordEvidence(const EvidenceReport &report);
   /// Logs and counts a configuration that was sent to a peer.
   void recordConfigSent(const HostID &peer, const EncodedDelta &update);
+  /// Merges the record of a host that introduces itself.
+  /// @returns the records by which it finds its place in the mesh.
+  std::vector<HostRecord> receiveIntroduction(const HostRecord &stranger,
+                                              const std::vector<HostID> &requested);
   /// Starts draining this host.
   /// @param cause initiator, for the time line.
   void drain(const std::string &cause);
@@ -151,6 +155,9 @@
   void updateRemoteRoots();
   void ensureLink(const HostID &peer, bool joining, std::set<HostID> &wanted);
   void contactSeeds();
+  std::vector<std::string> seedsToContact(bool isolated, TimeMs now) const;
+  kj::Promise<void> introduceTo(const std::string &address);
+  void mergeIntroduction(const std::vector<HostRecord> &records, const HostID &from);
   void advanceRollouts();
   void advanceDeclaredRollouts(const Snapshot &held, std::vector<RolloutID> &running);
   void advanceOrders(TimeMs now, std::vector<RolloutID> &running);
--- a/src/mesh/config_fetch.h
+++ b/src/mesh/config_fetch.h
@@ -41,8 +41,8 @@
   /// avoided for longer, as it probably still holds the same one.
   void endRefused(TimeMs now);
 
-  /// Ends the fetch in progress with a delta that needs another base; the same peer may be asked for
-  /// a full snapshot at once.
+  /// Ends the fetch in progress with a delta that needs another base; the same peer may be asked
+  /// for a full snapshot at once.
   void endForFull() { Current.reset(); }
 
   bool inProgress() const { return Current.has_value(); }
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -4,6 +4,7 @@
 #include "rollout/rollout_func.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jasmineloom {
 
@@ -145,19 +146,39 @@
   return result;
 }
 
-bool MeshNode::receiveRecords(const ExchangeMessage &message, TimeMs now) {
+bool MeshNode::mergeRecords(const std::vector<HostRecord> &records, const HostID &from,
+                            TimeMs now) {
   bool changed = false;
-  for (const HostRecord &record : message.Records) {
+  for (const HostRecord &record : records) {
     const bool outdated = record.Host == Identity.Host && record.Incarnation < Identity.Incarnation;
     if (outdated)
       continue;
     supersedeEarlierIncarnation(record);
-    changed |= Hosts.merge(record, message.Host, now);
+    changed |= Hosts.merge(record, from, now);
   }
   refuteGoneRecord(now);
   return changed;
 }
 
+std::vector<HostRecord> MeshNode::introductionFor(const HostRecord &other,
+                                                  const std::vector<HostID> &requested) const {
+  std::set<HostID> selected(requested.begin(), requested.end());
+  selected.insert(Identity.Host);
+  for (const DataCentreName &dataCentre : {Identity.DataCentre, other.DataCentre}) {
+    for (const HostID &root : rootsOf(Hosts.members(dataCentre), Shape))
+      selected.insert(root);
+  }
+  for (const HostID &parent :
+       treePositionOf(Hosts.members(other.DataCentre), other.Host, Shape).Parents)
+    selected.insert(parent);
+  std::vector<HostRecord> records;
+  for (const HostID &host : selected) {
+    if (const HostRecord *record = Hosts.find(host); record != nullptr)
+      records.push_back(*record);
+  }
+  return records;
+}
+
 void MeshNode::supersedeEarlierIncarnation(const HostRecord &record) {
   const bool higher = record.Host == Identity.Host && record.Incarnation > Identity.Incarnation;
   if (!higher)
@@ -236,7 +257,7 @@
   link.PeerSummary = message.Summary;
   receiveAck(message, link);
   receiveHeldVersion(message, link, now);
-  changes.TableChanged = receiveRecords(message, now);
+  changes.TableChanged = mergeRecords(message.Records, message.Host, now);
   link.ReceivedCursor = std::max(link.ReceivedCursor, message.Cursor);
   compareDigests(message, link);
   for (const RolloutProgress &progress : message.Progress)
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -117,6 +117,17 @@
   /// batches.
   bool hasOnlyRecordsFor(const HostID &peer, bool joining) const;
 
+  /// Merges records that were received outside a link.
+  /// @param from peer that sent the records.
+  /// @returns whether the table changed.
+  bool mergeRecords(const std::vector<HostRecord> &records, const HostID &from, TimeMs now);
+
+  /// Selects the records by which another host finds its place in the mesh: this host, the roots of
+  /// both data centres, the host's parents, and the hosts in \p requested, gone ones included. The
+  /// host gets the whole table over the link to its parent.
+  std::vector<HostRecord> introductionFor(const HostRecord &other,
+                                          const std::vector<HostID> &requested) const;
+
   /// Starts fetching a newer configuration, unless a fetch is in progress.
   /// @param minAge time for which it must be known that a peer holds the newer version.
   /// @returns the peer to fetch from; nullopt if there is nothing to fetch.
@@ -187,7 +198,6 @@
   std::vector<ConfigOffer> configOffers() const;
   bool hasProgressOrSummaryFor(const Link &link, bool joining) const;
   void receiveHeldVersion(const ExchangeMessage &message, Link &link, TimeMs now);
-  bool receiveRecords(const ExchangeMessage &message, TimeMs now);
   void compareDigests(const ExchangeMessage &message, Link &link);
   void receiveAck(const ExchangeMessage &message, Link &link) const;
   void refuteGoneRecord(TimeMs now);
--- a/src/mesh/peer_service.cpp
+++ b/src/mesh/peer_service.cpp
@@ -66,6 +66,19 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> PeerService::introduce(IntroduceContext context) {
+  const HostRecord stranger = readRecord(context.getParams().getRecord());
+  std::vector<HostID> requested;
+  for (const auto parent : context.getParams().getParents())
+    requested.emplace_back(wireText(parent));
+  const std::vector<HostRecord> records = Control.receiveIntroduction(stranger, requested);
+  auto list = context.getResults().initRecords(static_cast<unsigned>(records.size()));
+  unsigned n = 0;
+  for (const HostRecord &record : records)
+    writeRecord(list[n++], record);
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> PeerService::ping(PingContext context) {
   context.getResults().setHost(Control.node().identity().Host.str());
   context.getResults().setIncarnation(Control.node().identity().Incarnation);
--- a/src/mesh/peer_service.h
+++ b/src/mesh/peer_service.h
@@ -27,6 +27,7 @@
   kj::Promise<void> floor(FloorContext context) override;
   kj::Promise<void> ping(PingContext context) override;
   kj::Promise<void> config(ConfigContext context) override;
+  kj::Promise<void> introduce(IntroduceContext context) override;
 
 private:
   ControlTask &Control;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -413,6 +413,60 @@
   BOOST_TEST(fixture.node("leaf").hosts().find(HostID("stray")) != nullptr);
 }
 
+namespace {
+
+/// A node that knows many hosts in several data centres.
+struct LargeMesh {
+  static constexpr std::size_t Hosts = 60;
+  static constexpr std::size_t DataCentres = 3;
+  MeshNode Node{{HostID("h0"), 1, dataCentreOf(0), "h0:1", "h0:2"}, StartTime};
+  std::vector<HostRecord> Records;
+
+  LargeMesh() {
+    for (std::size_t n = 1; n < Hosts; ++n)
+      Records.push_back(recordOf(n));
+    Node.mergeRecords(Records, HostID("peer"), StartTime);
+  }
+
+  static DataCentreName dataCentreOf(std::size_t n) {
+    return DataCentreName("dc" + std::to_string(n % DataCentres));
+  }
+
+  static HostRecord recordOf(std::size_t n) {
+    HostRecord record;
+    record.Host = HostID("h" + std::to_string(n));
+    record.Incarnation = 1;
+    record.DataCentre = dataCentreOf(n);
+    record.State = HostState::Ready;
+    return record;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(introduction_of_a_starting_host_does_not_carry_the_host_table, LargeMesh) {
+  const TreeShape shape;
+  for (std::size_t n = Hosts; n < Hosts + 40; ++n) {
+    const HostRecord stranger = recordOf(n);
+    const std::vector<HostRecord> introduction = Node.introductionFor(stranger, {});
+    BOOST_TEST(introduction.size() <= 1 + 2 * shape.Roots + MaxParentCandidates);
+    MeshNode started({stranger.Host, 2, stranger.DataCentre, "", ""}, StartTime);
+    started.mergeRecords(introduction, HostID("h0"), StartTime);
+    Node.mergeRecords({started.self()}, stranger.Host, StartTime);
+    const TreePosition expected =
+        treePositionOf(Node.hosts().members(stranger.DataCentre), stranger.Host, shape);
+    BOOST_TEST((started.treePosition() == expected));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(introduction_tells_an_isolated_host_which_parents_are_gone, LargeMesh) {
+  HostRecord gone = recordOf(7);
+  gone.State = HostState::Gone;
+  Node.mergeRecords({gone}, HostID("peer"), StartTime);
+  const std::vector<HostRecord> introduction = Node.introductionFor(recordOf(8), {gone.Host});
+  BOOST_TEST((std::find(introduction.begin(), introduction.end(), gone) != introduction.end()));
+}
+
 BOOST_AUTO_TEST_CASE(tree_positions_form_no_cycle_and_limit_children) {
   std::vector<HostID> members;
   for (int n = 0; n < 890; ++n)
