Read the operators' document once when a node starts

Cause: confirming the version floor and the loop that follows the document each read it whole, and neither knew of the other.

Callers of the read now share the one in progress, and a node that has read the document since its start does not read it again for its floor. starting_node_reads_the_document_once failed before (2 reads instead of 1).

--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -62,7 +62,7 @@
       return documentLoop();
     });
   }
-  auto step = DocumentRead.Listed ? watchDocument() : listDocument(std::string());
+  auto step = DocumentRead.Listed ? watchDocument() : readDocument();
   return step
       .then([this](bool ok) -> kj::Promise<void> {
         DocumentRead.RetryDelay =
@@ -75,6 +75,25 @@
       .then([this] { return documentLoop(); });
 }
 
+kj::Promise<bool> ControlTask::readDocument() {
+  auto waiter = kj::newPromiseAndFulfiller<bool>();
+  DocumentRead.Waiters.push_back(kj::mv(waiter.fulfiller));
+  if (DocumentRead.Waiters.size() > 1)
+    return kj::mv(waiter.promise);
+  spawn(listDocument(std::string())
+            .catch_([this](kj::Exception &&exception) {
+              recordEvent("config", "document",
+                          absl::StrCat("read failed: ", exception.getDescription().cStr()));
+              return false;
+            })
+            .then([this](bool ok) {
+              for (auto &it : std::exchange(DocumentRead.Waiters, {}))
+                it->fulfill(kj::cp(ok));
+            }),
+        "document");
+  return kj::mv(waiter.promise);
+}
+
 kj::Promise<bool> ControlTask::listDocument(const std::string &after) {
   return Store.send(StoreList{Settings.Env.Document->Prefix, after, false})
       .then([this, after](StoreResponse response) -> kj::Promise<bool> {
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -36,7 +36,7 @@
   };
   auto queryStore = [this]() -> kj::Promise<void> {
     if (Settings.Env.Document.has_value())
-      return listDocument(std::string()).ignoreResult();
+      return DocumentRead.Listed ? kj::READY_NOW : readDocument().ignoreResult();
     return Store.send(StoreRead{HeadKey}).then([this](StoreResponse response) {
       if (response.Result != StoreResult::Ok || response.Entries.empty())
         return;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -106,6 +106,8 @@
     bool Listed = false;       ///< All entries were listed; changes are watched.
     std::int64_t Revision = 0; ///< Store revision after which the watch continues.
     DurationMs RetryDelay = 0; ///< Backoff before the next call after a failure.
+    /// Callers that wait for the read of the whole document in progress.
+    std::vector<kj::Own<kj::PromiseFulfiller<bool>>> Waiters;
   };
   /// State of an order that this host may have to control. Times are those of the steady clock.
   struct OrderState {
@@ -172,6 +174,8 @@
   std::optional<RolloutSpec> orderSpec(const RolloutProgress &progress) const;
   std::optional<RolloutSpec> findRolloutSpec(const RolloutID &id) const;
   kj::Promise<void> documentLoop();
+  /// Reads the whole document; callers share a read that is in progress.
+  kj::Promise<bool> readDocument();
   kj::Promise<bool> listDocument(const std::string &after);
   kj::Promise<bool> watchDocument();
   void applyEntries(const std::vector<StoreEntry> &entries);
