--- a/tests/process_faults.sh
+++ b/tests/process_faults.sh
@@ -58,6 +58,12 @@
 check "all nodes discover each other" eventually ready_nodes 8 ready
 check "a declaration is in force on all nodes" exit_code 0 ctl apply "$SOURCE/deployments/kamena-vrata" --wait yes
 
+# copies VERSION: prints how often nodes sent the version to other nodes
+copies() { cat "$OUT"/node*.log | grep -c "\[config\] version $1: sent to"; }
+COPIES=$(copies 1)
+echo "      version 1 was sent $COPIES times to 7 other nodes"
+check "no node is sent the same version twice" [ "$COPIES" -le 7 ]
+
 load() { # SECONDS SEED: prints the totals of a load run
   "$BIN/jasmine_load" --targets "${TARGETS#,}" --upstreams "${UPSTREAMS#,}" --rate 150 --seconds "$1" \
     --seed "$2" --mix GET:/lookups:2,POST:/royalties:2 --resends 4
