Limit the size lines and trailer fields of chunked messages

The new test endless_bytes_of_an_upstream_end_the_attempt_in_bounded_memory (16 cases) failed in four: an endless chunk size, chunk extension, trailer field or trailer value was buffered until the attempt timed out, 537 MB in one second on loopback, so one faulty upstream could end its node.

Cause: the parser needs a chunk's size line in contiguous memory and has no limit for it; its header limit covers the header only. feedParser asked for more without a bound.

Now a line or trailer block of over 16 KiB is an invalid message: the attempt ends and the connection is closed. Requests use the same function, so callers' chunks are limited too. The other 12 cases held before. long_responses_pass_whole checks that sound answers of 3 MB still pass, with a length and without.

--- a/src/http/http_parser_feed.h
+++ b/src/http/http_parser_feed.h
@@ -7,6 +7,8 @@
 #include <boost/beast/http/error.hpp>
 #include <event2/buffer.h>
 
+#include <algorithm>
+
 namespace jasmineloom {
 
 /// Copies the header fields of a parsed Boost.Beast message.
@@ -17,6 +19,9 @@
   return fields;
 }
 
+/// Maximum length of a chunk's size line, or of the trailer fields after the last chunk.
+constexpr std::size_t MaxChunkLineBytes = 16 * 1024;
+
 /// Passes buffered bytes to a parser and removes the consumed ones from the buffer. The parser
 /// needs each header, and the size line of each chunk, in contiguous memory.
 /// @param parsingHeader whether the parser is within a header.
@@ -33,11 +38,16 @@
     return parser.put(boost::asio::buffer(bytes, length), ec);
   };
   std::size_t used = put();
-  // The contiguous bytes may end within a chunk's size line.
+  // The contiguous bytes may end within a chunk's size line. The parser itself does not limit it.
   if (used == 0 && ec == boost::beast::http::error::need_more && length < available) {
-    length = available;
+    length = std::min(available, MaxChunkLineBytes + 1);
     used = put();
   }
+  const bool inChunkLine = !parsingHeader && used == 0 && length > MaxChunkLineBytes;
+  if (inChunkLine && ec == boost::beast::http::error::need_more) {
+    ec = boost::beast::http::error::header_limit;
+    return 0;
+  }
   if (ec == boost::beast::http::error::need_more)
     ec.clear();
   evbuffer_drain(in, used);
--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <fstream>
 #include <thread>
 
 using namespace jasmineloom;
@@ -489,6 +490,106 @@
   }
 }
 
+/// A peer that sends a prefix and then one unit over and over, until the caller closes.
+class EndlessPeer {
+public:
+  EndlessPeer(std::string prefix, const std::string &unit)
+      : Listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int on = 1;
+    setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in sin = loopback(PeerPort);
+    BOOST_REQUIRE(bind(Listener, reinterpret_cast<const sockaddr *>(&sin), sizeof(sin)) == 0);
+    listen(Listener, 8);
+    std::string block;
+    while (block.size() < 16384)
+      block += unit;
+    Thread = std::thread([this, prefix = std::move(prefix), block = std::move(block)] {
+      const int fd = accept(Listener, nullptr, nullptr);
+      ssize_t n = ::send(fd, prefix.data(), prefix.size(), MSG_NOSIGNAL);
+      while (n >= 0) {
+        n = ::send(fd, block.data(), block.size(), MSG_NOSIGNAL);
+        Sent += n > 0 ? n : 0;
+      }
+      close(fd);
+    });
+  }
+  /// Waits until the caller has closed the connection.
+  ~EndlessPeer() {
+    Thread.join();
+    close(Listener);
+  }
+  std::atomic<std::int64_t> Sent{0};
+
+private:
+  int Listener;
+  std::thread Thread;
+};
+
+std::int64_t residentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::int64_t total = 0;
+  std::int64_t resident = 0;
+  file >> total >> resident;
+  return resident * sysconf(_SC_PAGESIZE);
+}
+
+struct EndlessCase {
+  const char *Name;
+  std::string Prefix;
+  std::string Unit;
+};
+
+BOOST_AUTO_TEST_CASE(endless_bytes_of_an_upstream_end_the_attempt_in_bounded_memory) {
+  constexpr DurationMs Timeout = 1000;
+  constexpr std::int64_t MaxGrowth = 4 << 20;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<EndlessCase> cases = {
+      {"not HTTP", "", "nonsense"},
+      {"blank lines", "", "\r\n"},
+      {"version", "HTTP/", "1"},
+      {"status", "HTTP/1.1 ", "2"},
+      {"reason phrase", "HTTP/1.1 200 ", "x"},
+      {"header name", "HTTP/1.1 200 OK\r\n", "x"},
+      {"header value", "HTTP/1.1 200 OK\r\nX: ", "y"},
+      {"header fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+      {"body without length", "HTTP/1.1 200 OK\r\n\r\n", "z"},
+      {"body of excessive length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "z"},
+      {"chunks", chunked, "1\r\nz\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "1;", "e"},
+      {"trailer fields", chunked + "0\r\n", "T: v\r\n"},
+      {"trailer value", chunked + "0\r\nT: ", "v"},
+  };
+  for (const EndlessCase &it : cases) {
+    const EventBasePtr base = makePreciseBase();
+    HttpPool pool(base.get(), 1000);
+    const std::int64_t before = residentBytes();
+    {
+      EndlessPeer peer(it.Prefix, it.Unit);
+      BOOST_TEST(!callPeer(pool, base.get(), Timeout, PeerPort).Complete, it.Name);
+      const std::int64_t growth = residentBytes() - before;
+      BOOST_TEST(growth < MaxGrowth, it.Name << ": " << growth << " bytes held");
+      while (pool.connections("127.0.0.1:" + std::to_string(PeerPort)) != 0)
+        event_base_loop(base.get(), EVLOOP_ONCE);
+      event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(long_responses_pass_whole) {
+  const std::string body(3 << 20, 'b');
+  const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  for (const std::string &field : {length, std::string()}) {
+    const EventBasePtr base = makePreciseBase();
+    HttpPool pool(base.get(), body.size());
+    ScriptedPeer peer({"HTTP/1.1 200 OK\r\n" + field + "\r\n" + body}, 0);
+    const HttpResult result = callPeer(pool, base.get(), 5000, PeerPort);
+    BOOST_REQUIRE(result.Complete);
+    BOOST_TEST((textOf(result.Body.get()) == body));
+  }
+}
+
 /// Calls the peer with "x-id: own", which the response has to repeat, and waits for the result.
 HttpResult callPeerWithEchoedField(HttpPool &pool, event_base *base) {
   HttpResult received;
