--- a/src/http/http_fields.cpp
+++ b/src/http/http_fields.cpp
@@ -26,11 +26,15 @@
                      [name](std::string_view it) { return sameName(it, name); });
 }
 
-/// @returns the field names listed in the Connection field.
+/// @returns the field names listed in all Connection fields.
 std::vector<std::string> connectionOptions(const HeaderFields &fields) {
   std::vector<std::string> options;
-  for (const absl::string_view it : absl::StrSplit(headerValue(fields, "connection"), ','))
-    options.emplace_back(absl::StripAsciiWhitespace(it));
+  for (const HeaderField &field : fields) {
+    if (!sameName(field.Name, "connection"))
+      continue;
+    for (const absl::string_view it : absl::StrSplit(field.Value, ','))
+      options.emplace_back(absl::StripAsciiWhitespace(it));
+  }
   return options;
 }
 
--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -395,9 +395,16 @@
 }
 
 BOOST_AUTO_TEST_CASE(hop_by_hop_fields_are_recognised) {
-  const HeaderFields fields = {{"Connection", "close, X-Hop"}, {"x-hop", "1"},     {"X-Own", "2"},
-                               {"Content-Length", "3"},        {"TE", "trailers"}, {"Host", "x"}};
-  for (const char *name : {"Connection", "x-hop", "Content-Length", "TE", "Keep-Alive", "Upgrade"})
+  const HeaderFields fields = {{"Connection", "close, X-Hop"},
+                               {"x-hop", "1"},
+                               {"X-Own", "2"},
+                               {"connection", "X-Second"},
+                               {"Content-Length", "3"},
+                               {"TE", "trailers"},
+                               {"X-Second", "4"},
+                               {"Host", "x"}};
+  for (const char *name :
+       {"Connection", "x-hop", "X-Second", "Content-Length", "TE", "Keep-Alive", "Upgrade"})
     BOOST_TEST(isHopByHop(fields, name), name);
   for (const char *name : {"X-Own", "Host"})
     BOOST_TEST(!isHopByHop(fields, name), name);
