--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -119,7 +119,10 @@
   BOOST_TEST((std::get<RolloutOrder>(*entry) ==
               RolloutOrder{ServiceName("a"), VersionLabel("v2"), 12000, 7}));
   for (const char *bad : {"{}", R"({"service":"a"})", "x",
-                          R"({"service":"a","target_version":"v2","duration_s":"soon"})"})
+                          R"({"service":"a","target_version":"v2","duration_s":"soon"})",
+                          R"({"service":"a","target_version":"v2","duration_s":-1})",
+                          R"({"service":"a","target_version":"v2","duration_s":1e300})",
+                          R"({"service":"a","target_version":"v2","duration_s":0})"})
     BOOST_TEST(!decode("op/rollout/a", bad).ok(), bad);
   // Removed entries and unknown keys decode to nothing.
   BOOST_TEST(std::holds_alternative<std::monostate>(*decode("op/rollout/a", "", true)));
