Refuse malformed calls between gates instead of ending the process

Paths are parsed to one value per call now (parsePeerCall); anything else gets 400. malformed_calls_between_gates_are_refused covers the paths, and process_faults that the gate goes on.

--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -27,14 +27,11 @@
 constexpr DurationMs DefaultWarmUpTime = 4 * MsPerSecond;
 /// Connect timeout for the upstream, which runs on the same host.
 constexpr DurationMs UpstreamConnectTimeout = 250;
-constexpr const char *ClaimPath = "/.jasmineloom/claim/";
-constexpr const char *ReleasePath = "/.jasmineloom/release/";
-constexpr const char *CrashPath = "/.jasmineloom/crash/";
-constexpr const char *KeysPath = "/.jasmineloom/keys";
 constexpr std::size_t KeysPerCall = 10000;
 constexpr DurationMs KeyTransferTimeout = 2 * MsPerSecond;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
 constexpr int StatusKeyUsed = 409;
 constexpr int StatusKeyTableFull = 507;
 constexpr int FirstServerError = 500;
@@ -148,13 +145,9 @@
     Server.reply(request.ID, {403, {{header::Reason, "secret"}}, makeBuffer("refused\n")});
     return;
   }
-  if (absl::StartsWith(request.Path, "/.jasmineloom/")) {
-    if (absl::StartsWith(request.Path, CrashPath))
-      handleCrashReport(request);
-    else if (request.Path == KeysPath)
-      handleKeyTransfer(request);
-    else
-      handleClaim(request);
+  if (absl::StartsWith(request.Path, PeerCallPrefix)) {
+    std::visit([&](const auto &call) { handlePeerCall(call, request); },
+               parsePeerCall(request.Path));
     return;
   }
   const TimeMs now = steadyClockMs();
@@ -196,33 +189,29 @@
     QueueTimer.ensure(QueueCheckPeriod);
 }
 
-void GateTask::handleClaim(const HttpRequest &request) {
-  const bool release = absl::StartsWith(request.Path, ReleasePath);
-  const std::string text =
-      request.Path.substr(std::char_traits<char>::length(release ? ReleasePath : ClaimPath));
-  std::uint64_t key = 0;
-  if (!absl::SimpleAtoi(text, &key)) {
-    Server.reply(request.ID, {400, {}, nullptr});
-    return;
-  }
-  if (release) {
-    Keys.release(key);
-    Server.reply(request.ID, {StatusOk, {}, nullptr});
-    return;
-  }
+void GateTask::handlePeerCall(const InvalidPeerCall &, const HttpRequest &request) {
+  Server.reply(request.ID, {StatusBadRequest, {}, nullptr});
+}
+
+void GateTask::handlePeerCall(const ReleaseCall &call, const HttpRequest &request) {
+  Keys.release(call.Key);
+  Server.reply(request.ID, {StatusOk, {}, nullptr});
+}
+
+void GateTask::handlePeerCall(const ClaimCall &call, const HttpRequest &request) {
   // A key claimed now would not be part of the transfer, and would be lost when this host leaves.
   if (TransferringKeys) {
     Server.reply(request.ID, {StatusUnavailable, {}, nullptr});
     return;
   }
-  const KeyClaim claim = Keys.claim(key, wallClockMs());
+  const KeyClaim claim = Keys.claim(call.Key, wallClockMs());
   const int status = claim == KeyClaim::New    ? StatusOk
                      : claim == KeyClaim::Used ? StatusKeyUsed
                                                : StatusKeyTableFull;
   Server.reply(request.ID, {status, {}, nullptr});
 }
 
-void GateTask::handleKeyTransfer(const HttpRequest &request) {
+void GateTask::handlePeerCall(const KeyTransferCall &, const HttpRequest &request) {
   const std::string text = textOf(request.Body.get());
   for (const absl::string_view line : absl::StrSplit(text, '\n', absl::SkipEmpty())) {
     const std::pair<absl::string_view, absl::string_view> parts = absl::StrSplit(line, ' ');
@@ -281,11 +270,8 @@
   }
 }
 
-void GateTask::handleCrashReport(const HttpRequest &request) {
-  std::uint64_t fingerprint = 0;
-  const std::string text = request.Path.substr(std::char_traits<char>::length(CrashPath));
-  if (absl::SimpleAtoi(text, &fingerprint))
-    AdmissionControl.crashes().recordCrash(fingerprint, steadyClockMs());
+void GateTask::handlePeerCall(const CrashReportCall &call, const HttpRequest &request) {
+  AdmissionControl.crashes().recordCrash(call.Fingerprint, steadyClockMs());
   Server.reply(request.ID, {StatusOk, {}, nullptr});
 }
 
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -7,6 +7,7 @@
 #include "traffic/gate_base.h"
 #include "traffic/key_table.h"
 #include "traffic/metrics.h"
+#include "traffic/peer_call.h"
 #include "traffic/request_log.h"
 
 #include <map>
@@ -68,10 +69,12 @@
   struct RequestContext;
 
   void handleRequest(HttpRequest request);
-  void handleClaim(const HttpRequest &request);
-  void handleKeyTransfer(const HttpRequest &request);
+  void handlePeerCall(const InvalidPeerCall &call, const HttpRequest &request);
+  void handlePeerCall(const ClaimCall &call, const HttpRequest &request);
+  void handlePeerCall(const ReleaseCall &call, const HttpRequest &request);
+  void handlePeerCall(const KeyTransferCall &call, const HttpRequest &request);
+  void handlePeerCall(const CrashReportCall &call, const HttpRequest &request);
   std::vector<std::string> peerGates() const;
-  void handleCrashReport(const HttpRequest &request);
   void handleDisconnect(RequestID id);
   void startRequest(RequestContext &context);
   void claimKey(RequestContext &context);
--- /dev/null
+++ b/src/traffic/peer_call.h
@@ -0,0 +1,45 @@
+/// @file peer_call.h Calls between gates, as parsed from the path of a request.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace jasmineloom {
+
+constexpr const char *PeerCallPrefix = "/.jasmineloom/";
+constexpr const char *ClaimPath = "/.jasmineloom/claim/";
+constexpr const char *ReleasePath = "/.jasmineloom/release/";
+constexpr const char *CrashPath = "/.jasmineloom/crash/";
+constexpr const char *KeysPath = "/.jasmineloom/keys";
+
+/// Claims an idempotency key, given as its hash.
+struct ClaimCall {
+  std::uint64_t Key = 0;
+  auto operator<=>(const ClaimCall &) const = default;
+};
+/// Releases a claimed key.
+struct ReleaseCall {
+  std::uint64_t Key = 0;
+  auto operator<=>(const ReleaseCall &) const = default;
+};
+/// Reports a request that has crashed an upstream.
+struct CrashReportCall {
+  std::uint64_t Fingerprint = 0;
+  auto operator<=>(const CrashReportCall &) const = default;
+};
+/// Hands over the keys in the request's body.
+struct KeyTransferCall {
+  auto operator<=>(const KeyTransferCall &) const = default;
+};
+/// A path that names no call, or a call without a valid number.
+struct InvalidPeerCall {
+  auto operator<=>(const InvalidPeerCall &) const = default;
+};
+using PeerCall =
+    std::variant<ClaimCall, ReleaseCall, CrashReportCall, KeyTransferCall, InvalidPeerCall>;
+
+PeerCall parsePeerCall(std::string_view path);
+
+} // namespace jasmineloom
--- a/tests/process_faults.sh
+++ b/tests/process_faults.sh
@@ -119,6 +119,14 @@
 check "a different secret is refused" exit_code 8 env JASMINE_SECRET=not-the-secret \
   "$BIN/jasminectl" --node "127.0.0.1:$(node_port 1 2)" status
 
+# A call between gates with a path that names no call.
+gate_status() { # PATH: prints the status of a call to the gate of node 1 with the mesh's secret
+  curl -s -m 3 -o /dev/null -w '%{http_code}' -H "x-jasmine-secret: $JASMINE_SECRET" \
+    "127.0.0.1:$(node_port 1 1)$1"
+}
+check "a malformed call between gates is refused" [ "$(gate_status /.jasmineloom/x)" = 400 ]
+check "the gate still runs after it" [ "$(gate_status /.jasmineloom/x)" = 400 ]
+
 # A request that crashes its upstream is sent repeatedly through all nodes.
 for _ in 1 2 3; do
   for n in 1 2 3 7; do
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -6,6 +6,7 @@
 #include "traffic/drain_rule.h"
 #include "traffic/gate_base.h"
 #include "traffic/key_table.h"
+#include "traffic/peer_call.h"
 #include "traffic/placement.h"
 #include "traffic/request_log.h"
 #include "traffic/retry_rule.h"
@@ -521,6 +522,17 @@
   BOOST_TEST(runs == 40);
 }
 
+BOOST_AUTO_TEST_CASE(malformed_calls_between_gates_are_refused) {
+  BOOST_TEST((parsePeerCall("/.jasmineloom/claim/7") == PeerCall(ClaimCall{7})));
+  BOOST_TEST((parsePeerCall("/.jasmineloom/release/8") == PeerCall(ReleaseCall{8})));
+  BOOST_TEST((parsePeerCall("/.jasmineloom/crash/9") == PeerCall(CrashReportCall{9})));
+  BOOST_TEST((parsePeerCall("/.jasmineloom/keys") == PeerCall(KeyTransferCall{})));
+  for (const char *path :
+       {"/.jasmineloom/", "/.jasmineloom/x", "/.jasmineloom/claim", "/.jasmineloom/claim/",
+        "/.jasmineloom/claim/-1", "/.jasmineloom/release/x", "/.jasmineloom/crash/1/2", "/", ""})
+    BOOST_TEST((parsePeerCall(path) == PeerCall(InvalidPeerCall{})), path);
+}
+
 BOOST_AUTO_TEST_CASE(routes_match_the_longest_prefix_at_segment_boundaries) {
   const SnapshotPtr snapshot =
       snapshotOf(3, {service("a"), service("b"), route("ra", "/a", "a"), route("rb", "/a/b", "b")});
