Name the introduced host by its role and leave empty answers to fetches out of the log

A peer without a configuration answered a fetch with nothing, and that was logged and counted as version 0 sent whole. Comments of the fetch and the codec are shorter.

--- a/src/config/delta_codec.cpp
+++ b/src/config/delta_codec.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// The fastest regular level; a version is compressed once per base version, on small machines.
+/// The fastest regular level; some machines have a tenth of a core.
 constexpr int CompressionLevel = 1;
 
 absl::Status dataLoss(std::string_view reason) {
@@ -30,7 +30,7 @@
                        std::string(ZSTD_compressBound(plain.size()), '\0')};
   const std::size_t n = ZSTD_compress(encoded.Bytes.data(), encoded.Bytes.size(), plain.begin(),
                                       plain.size(), CompressionLevel);
-  // Cannot fail: the output has the size that the library asks for.
+  // Fails only for lack of memory, as the output has the size that the library asks for.
   encoded.Bytes.resize(ZSTD_isError(n) == 0 ? n : 0);
   return encoded;
 }
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -193,14 +193,14 @@
   propagateChanges(changes);
 }
 
-std::vector<HostRecord> ControlTask::receiveIntroduction(const HostRecord &stranger,
+std::vector<HostRecord> ControlTask::receiveIntroduction(const HostRecord &caller,
                                                          const std::vector<HostID> &requested) {
-  const bool unknown = Node.hosts().find(stranger.Host) == nullptr;
-  mergeIntroduction({stranger}, stranger.Host);
+  const bool unknown = Node.hosts().find(caller.Host) == nullptr;
+  mergeIntroduction({caller}, caller.Host);
   // Without a link this node may know of no other host of the mesh.
   if (unknown && allLinksSilent(steadyClockMs()))
-    spawn(introduceTo(stranger.RpcAddress), "seed");
-  return Node.introductionFor(stranger, requested);
+    spawn(introduceTo(caller.RpcAddress), "seed");
+  return Node.introductionFor(caller, requested);
 }
 
 kj::Promise<void> ControlTask::probeHost() {
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -75,7 +75,7 @@
   void recordConfigSent(const HostID &peer, const EncodedDelta &update);
   /// Merges the record of a host that introduces itself.
   /// @returns the records by which it finds its place in the mesh.
-  std::vector<HostRecord> receiveIntroduction(const HostRecord &stranger,
+  std::vector<HostRecord> receiveIntroduction(const HostRecord &caller,
                                               const std::vector<HostID> &requested);
   /// Starts draining this host.
   /// @param cause initiator, for the time line.
--- a/src/mesh/config_fetch.cpp
+++ b/src/mesh/config_fetch.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-/// Retry delays after which a peer whose configuration was refused is asked again. It is probably
-/// refused again until the peer holds another version.
+/// Number of retry delays for which a peer is avoided after its configuration was refused.
 constexpr DurationMs RefusedDelayFactor = 20;
 
 /// Orders offers: the own data centre first, then parents, then the newest version, then the first.
--- a/src/mesh/config_fetch.h
+++ b/src/mesh/config_fetch.h
@@ -19,8 +19,8 @@
   auto operator<=>(const ConfigOffer &) const = default;
 };
 
-/// At most one fetch is in progress, so that a node receives no two copies of a version over links
-/// that are already slow.
+/// Allows one fetch at a time: a second copy of a version would only delay the first on a slow
+/// link.
 class ConfigFetch {
 public:
   /// @param retryDelay time for which a peer is avoided after a failed fetch.
--- a/src/mesh/peer_service.cpp
+++ b/src/mesh/peer_service.cpp
@@ -60,18 +60,19 @@
   const auto params = context.getParams();
   const std::shared_ptr<const EncodedDelta> update =
       Control.node().config().encodedDeltaFrom(params.getHeldVersion(), params.getHeldDigest());
-  Control.recordConfigSent(Caller, *update);
+  if (!update->Bytes.empty())
+    Control.recordConfigSent(Caller, *update);
   context.getResults().setUpdate(
       kj::arrayPtr(reinterpret_cast<const kj::byte *>(update->Bytes.data()), update->Bytes.size()));
   return kj::READY_NOW;
 }
 
 kj::Promise<void> PeerService::introduce(IntroduceContext context) {
-  const HostRecord stranger = readRecord(context.getParams().getRecord());
+  const HostRecord caller = readRecord(context.getParams().getRecord());
   std::vector<HostID> requested;
   for (const auto parent : context.getParams().getParents())
     requested.emplace_back(wireText(parent));
-  const std::vector<HostRecord> records = Control.receiveIntroduction(stranger, requested);
+  const std::vector<HostRecord> records = Control.receiveIntroduction(caller, requested);
   auto list = context.getResults().initRecords(static_cast<unsigned>(records.size()));
   unsigned n = 0;
   for (const HostRecord &record : records)
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -447,14 +447,14 @@
 BOOST_FIXTURE_TEST_CASE(introduction_of_a_starting_host_does_not_carry_the_host_table, LargeMesh) {
   const TreeShape shape;
   for (std::size_t n = Hosts; n < Hosts + 40; ++n) {
-    const HostRecord stranger = recordOf(n);
-    const std::vector<HostRecord> introduction = Node.introductionFor(stranger, {});
+    const HostRecord joining = recordOf(n);
+    const std::vector<HostRecord> introduction = Node.introductionFor(joining, {});
     BOOST_TEST(introduction.size() <= 1 + 2 * shape.Roots + MaxParentCandidates);
-    MeshNode started({stranger.Host, 2, stranger.DataCentre, "", ""}, StartTime);
+    MeshNode started({joining.Host, 2, joining.DataCentre, "", ""}, StartTime);
     started.mergeRecords(introduction, HostID("h0"), StartTime);
-    Node.mergeRecords({started.self()}, stranger.Host, StartTime);
+    Node.mergeRecords({started.self()}, joining.Host, StartTime);
     const TreePosition expected =
-        treePositionOf(Node.hosts().members(stranger.DataCentre), stranger.Host, shape);
+        treePositionOf(Node.hosts().members(joining.DataCentre), joining.Host, shape);
     BOOST_TEST((started.treePosition() == expected));
   }
 }
