--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -35,7 +35,7 @@
 mutant mesh_test mesh/mesh_node.cpp 's/^  link.ReceivedCursor = 0;/  ;/' "host tables that differ are not resynchronised"
 mutant mesh_test mesh/mesh_node.cpp 's/  ++Self.Sequence;$/  ;/' "a host does not increment the sequence of its record"
 mutant mesh_test mesh/mesh_node.cpp 's/    WantFull = true;/    WantFull = false;/' "no full snapshot is requested after a version gap"
-mutant config_transfer_test mesh/config_fetch.cpp 's/  if (inProgress())/  if (false)/' "a version is fetched from two peers at once"
+mutant config_transfer_test mesh/config_fetch.h 's/return Current.has_value();/return false;/' "a version is fetched from two peers at once"
 mutant config_transfer_test mesh/config_fetch.cpp 's/AvoidedUntil.contains(offer.Peer) || now/now/' "a fetch that failed is repeated from the same peer at once"
 mutant change_test config/change_cmd.cpp 's/if (findOperation(Current, Request.Operation) != nullptr)/if (false)/' "a repeated operation is not recognised after a lost response"
 mutant change_test config/change_cmd.cpp 's/  SwapSent = true;/  return failed(ChangeStatus::StoreUnavailable, "");/' "a change whose store response was lost is reported as not made"
