--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -133,6 +133,17 @@
   std::thread Thread;
 };
 
+/// @returns a listening socket.
+int listenOnPeerPort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in sin = loopback(PeerPort);
+  BOOST_REQUIRE(bind(fd, reinterpret_cast<const sockaddr *>(&sin), sizeof(sin)) == 0);
+  listen(fd, 8);
+  return fd;
+}
+
 /// A peer that accepts one connection per prepared response, sends the response after the first
 /// request and closes the connection.
 class ScriptedPeer {
@@ -140,12 +151,7 @@
   /// @param delayFirst delay of the first response.
   /// @param reset whether connections are closed with a TCP reset.
   ScriptedPeer(std::vector<std::string> responses, DurationMs delayFirst, bool reset = false)
-      : Listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    const int on = 1;
-    setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const sockaddr_in sin = loopback(PeerPort);
-    BOOST_REQUIRE(bind(Listener, reinterpret_cast<const sockaddr *>(&sin), sizeof(sin)) == 0);
-    listen(Listener, 8);
+      : Listener(listenOnPeerPort()) {
     Thread = std::thread([this, responses = std::move(responses), delayFirst, reset] {
       bool first = true;
       for (const std::string &response : responses) {
@@ -431,12 +437,7 @@
 /// A peer that sends a complete response byte by byte to each of several connections in turn.
 class SlowPeer {
 public:
-  SlowPeer(int connections, DurationMs pause) : Listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    const int on = 1;
-    setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const sockaddr_in sin = loopback(PeerPort);
-    BOOST_REQUIRE(bind(Listener, reinterpret_cast<const sockaddr *>(&sin), sizeof(sin)) == 0);
-    listen(Listener, 8);
+  SlowPeer(int connections, DurationMs pause) : Listener(listenOnPeerPort()) {
     Thread = std::thread([this, connections, pause] {
       for (int n = 0; n < connections; ++n) {
         const int fd = accept(Listener, nullptr, nullptr);
@@ -505,13 +506,7 @@
 /// A peer that sends a prefix and then one unit over and over, until the caller closes.
 class EndlessPeer {
 public:
-  EndlessPeer(std::string prefix, const std::string &unit)
-      : Listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    const int on = 1;
-    setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const sockaddr_in sin = loopback(PeerPort);
-    BOOST_REQUIRE(bind(Listener, reinterpret_cast<const sockaddr *>(&sin), sizeof(sin)) == 0);
-    listen(Listener, 8);
+  EndlessPeer(std::string prefix, const std::string &unit) : Listener(listenOnPeerPort()) {
     std::string block;
     while (block.size() < 16384)
       block += unit;
