--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -387,8 +387,13 @@
   for (ConfigVersion version = 1; version <= 100; ++version)
     fixture.accept(seededSnapshot(version, static_cast<std::uint32_t>(version % 64)));
   const ExchangeMessage message = fixture.node("root").buildMessage(HostID("relay"), false);
-  BOOST_TEST(message.HeldVersion == 100U);
   BOOST_TEST(message.Records.size() <= MaxRecordsPerMessage);
+  MeshNode &relay = fixture.node("relay");
+  relay.receiveMessage(message, fixture.Now);
+  BOOST_REQUIRE(relay.startFetch(0, fixture.Now) == HostID("root"));
+  relay.finishFetch(fixture.fetchedUpdate("relay", "root"), fixture.Now);
+  BOOST_TEST(relay.config().heldVersion() == 100U);
+  BOOST_TEST(!relay.startFetch(0, fixture.Now).has_value());
   checkConverged(fixture, 100);
 }
 
