--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -259,8 +259,13 @@
 }
 
 void ControlTask::evaluateOrder(const RolloutSpec &spec, const RolloutProgress &progress,
-                                const OrderState &state, TimeMs now, DurationMs delay) {
+                                OrderState &state, TimeMs now, DurationMs delay) {
   const Judgement judgement = LocalController.orderJudgement(spec, now);
+  const bool withheld = !judgement.Withheld.empty();
+  if (withheld && !state.Withheld)
+    recordEvent("rollout", spec.ID.str(),
+                "verdict withheld, failures confined to some hosts: " + judgement.Withheld);
+  state.Withheld = withheld;
   const DurationMs elapsed = now - state.KnownSince + state.PriorElapsed;
   const DurationMs sinceStep = now - std::max(state.StageSince, state.KnownSince);
   const EvidenceSum counts = sumOf(LocalController.strata(spec, now));
@@ -270,18 +275,37 @@
     next = nextOrderProgress(judgement, progress, elapsed < delay ? 0 : elapsed - delay, sinceStep,
                              counts.requestsPerSecond());
   if (next.has_value() && Node.updateProgress(*next)) {
-    recordEvent(
-        "rollout", spec.ID.str(),
-        next->Phase == RolloutPhase::TakenBack ? "taken back: " + next->Reason
-        : next->Phase == RolloutPhase::Done
-            ? "done: " + next->Reason
-            : absl::StrCat("stage ", next->Stage, " after ", elapsed, " ms; ", counts.text()));
+    recordEvent("rollout", spec.ID.str(),
+                next->Phase == RolloutPhase::TakenBack ? "taken back: " + next->Reason
+                : next->Phase == RolloutPhase::Done
+                    ? "done: " + next->Reason
+                    : absl::StrCat("stage ", next->Stage, " after ", elapsed, " ms; ",
+                                   counts.text(), "; ", LocalController.reportingGates(now),
+                                   " gates report"));
     StateChanges changes;
     changes.ProgressChanged = true;
     propagateChanges(changes);
   }
 }
 
+void ControlTask::recordOrderProgress(TimeMs now) {
+  for (const auto &[id, progress] : Node.progress()) {
+    if (progress.Order == 0)
+      continue;
+    OrderState &state = Orders[id];
+    if (state.FirstReportAt == 0)
+      state.FirstReportAt = now;
+    if (state.ReportedPhase == progress.Phase && state.ReportedStage == progress.Stage)
+      continue;
+    state.ReportedPhase = progress.Phase;
+    state.ReportedStage = progress.Stage;
+    recordEvent("rollout", id.str(),
+                absl::StrCat("known: ", std::string(nameOf(progress.Phase)), ", stage ",
+                             progress.Stage, ", ", now - state.FirstReportAt,
+                             " ms after the order"));
+  }
+}
+
 void ControlTask::readOrderStatus(const RolloutProgress &progress) {
   Orders[progress.ID].StatusCallPending = true;
   const DocumentFormat &format = *Settings.Env.Document;
--- a/src/control/control_rollouts.cpp
+++ b/src/control/control_rollouts.cpp
@@ -23,8 +23,10 @@
 
 void ControlTask::recordEvidence(const EvidenceReport &report) {
   const std::optional<RolloutSpec> spec = findRolloutSpec(report.Rollout);
-  if (spec.has_value())
-    LocalController.addReport(*spec, report, steadyClockMs());
+  if (!spec.has_value())
+    return;
+  ++EvidenceReports.Received;
+  LocalController.addReport(*spec, report, steadyClockMs());
 }
 
 void ControlTask::sendEvidence(const std::vector<EvidenceReport> &reports) {
@@ -32,13 +34,16 @@
       reports.empty() ? std::nullopt : findRolloutSpec(reports.front().Rollout);
   if (!spec.has_value())
     return;
+  EvidenceReports.Sent += reports.size();
   sendEvidenceTo(controllersOf(*spec, Node.hosts()), reports);
 }
 
 void ControlTask::sendEvidenceTo(std::vector<HostID> controllers,
                                  const std::vector<EvidenceReport> &reports) {
-  if (controllers.empty())
+  if (controllers.empty()) {
+    EvidenceReports.Lost += reports.size();
     return;
+  }
   const HostID controller = controllers.front();
   controllers.erase(controllers.begin());
   if (controller == Settings.Identity.Host) {
@@ -68,6 +73,7 @@
   spawn(timer()
             .timeoutAfter(EvidenceTimeout * kj::MILLISECONDS, kj::mv(sent))
             .catch_([this, controllers, reports](kj::Exception &&) {
+              ++EvidenceReports.Failovers;
               sendEvidenceTo(controllers, reports);
             }),
         "evidence");
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -238,6 +238,8 @@
     recordEvent("apply", absl::StrCat("version ", Node.config().heldVersion()), "in force");
   if (changes.ConfigRejected)
     recordEvent("config", "refused", Node.config().lastError());
+  if (changes.ProgressChanged)
+    recordOrderProgress(steadyClockMs());
   if (changes.ConfigApplied || changes.ProgressChanged)
     schedulePublish(PublishDelay);
   else if (changes.TableChanged)
@@ -353,6 +355,7 @@
   figures.StoreReachable = Store.reachable();
   figures.Transfers = Transfers;
   figures.LinkFailures = LinkFailureCount;
+  figures.EvidenceReports = EvidenceReports;
   figures.LongestStall = Stalls.longest();
   Traffic.put(figures);
   TickDue = steadyClockMs() + TickPeriod;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -129,6 +129,10 @@
     TimeMs NextStatusWrite = 0;
     std::optional<RolloutPhase> StoredPhase; ///< Phase in the status in the store.
     std::uint32_t StoredStage = 0;
+    bool Withheld = false;                     ///< The last evaluation withheld a verdict.
+    std::optional<RolloutPhase> ReportedPhase; ///< Phase in the last event of the time line.
+    std::uint32_t ReportedStage = 0;           ///< Stage in that event.
+    TimeMs FirstReportAt = 0;                  ///< When the first such event was recorded.
   };
 
   void handleMessages();
@@ -175,8 +179,10 @@
   void advanceOrder(const RolloutSpec &spec, const RolloutProgress &progress, OrderState &state,
                     TimeMs now, DurationMs delay);
   /// Advances or rolls back an order if the evidence requires or permits it.
-  void evaluateOrder(const RolloutSpec &spec, const RolloutProgress &progress,
-                     const OrderState &state, TimeMs now, DurationMs delay);
+  void evaluateOrder(const RolloutSpec &spec, const RolloutProgress &progress, OrderState &state,
+                     TimeMs now, DurationMs delay);
+  /// Records when this node learns of a stage or the end of an order.
+  void recordOrderProgress(TimeMs now);
   void readOrderStatus(const RolloutProgress &progress);
   void receiveOrderStatus(const RolloutProgress &progress, const StoreResponse &response);
   void writeOrderStatus(const RolloutProgress &progress, TimeMs now);
@@ -239,6 +245,7 @@
   std::map<HostID, std::unique_ptr<LinkTask>> Links;
   std::map<HostID, TimeMs> LinkFailures;
   std::uint64_t LinkFailureCount = 0;
+  EvidenceCounters EvidenceReports;
   std::map<HostID, std::uint32_t> ProbeFailures;
   std::vector<HeldExchange> HeldExchanges;
   std::set<RolloutID> EndingRollouts;
--- a/src/rollout/rollout_controller_base.cpp
+++ b/src/rollout/rollout_controller_base.cpp
@@ -40,6 +40,7 @@
       ClockOffsets.try_emplace(Sender{report.Host, report.Incarnation}, received - report.Bucket)
           .first->second;
   report.Bucket += offset;
+  LastReports[report.Host] = now;
   aggregatorOf(spec).addReport(report);
 }
 
@@ -64,9 +65,17 @@
   return nextRolloutProgress(judgement(DeclaredRule, spec, steadyNow), spec, progress, now);
 }
 
+std::size_t RolloutController::reportingGates(TimeMs now) const {
+  return static_cast<std::size_t>(
+      std::count_if(LastReports.begin(), LastReports.end(),
+                    [now](const auto &it) { return now <= it.second + RecentReportTime; }));
+}
+
 void RolloutController::keepOnly(const std::vector<RolloutID> &rollouts) {
-  if (rollouts.empty())
+  if (rollouts.empty()) {
     ClockOffsets.clear();
+    LastReports.clear();
+  }
   std::erase_if(Aggregators, [&rollouts](const auto &it) {
     return std::find(rollouts.begin(), rollouts.end(), it.first) == rollouts.end();
   });
--- a/src/rollout/rollout_controller_base.h
+++ b/src/rollout/rollout_controller_base.h
@@ -14,6 +14,9 @@
 /// merging progress never lowers its phase or stage.
 constexpr std::size_t ControllersPerRollout = 2;
 
+/// Age up to which a gate's last report is recent; gates report twice a second.
+constexpr DurationMs RecentReportTime = 1500;
+
 /// @returns the hosts that control a rollout, by rendezvous hash over the service's hosts, or over
 /// all hosts if the service has none.
 std::vector<HostID> controllersOf(const RolloutSpec &spec, const HostTable &hosts);
@@ -34,6 +37,8 @@
   /// Judges an ordered rollout's new version.
   Judgement orderJudgement(const RolloutSpec &spec, TimeMs now);
   std::vector<EvidenceStratum> strata(const RolloutSpec &spec, TimeMs now);
+  /// @returns the number of gates that have reported within RecentReportTime.
+  std::size_t reportingGates(TimeMs now) const;
   /// Drops the evidence of rollouts that are not in the list.
   void keepOnly(const std::vector<RolloutID> &rollouts);
 
@@ -49,6 +54,7 @@
   };
 
   std::map<RolloutID, EvidenceAggregator> Aggregators;
+  std::map<HostID, TimeMs> LastReports;         ///< By gate, when its last report arrived.
   std::map<Sender, std::uint64_t> ClockOffsets; ///< Own bucket minus the sender's, modulo 2^64.
   DecisionRule DeclaredRule = StratifiedRule{};
   DecisionRule OrderRule = orderRule();
--- a/src/rollout/rollout_func.cpp
+++ b/src/rollout/rollout_func.cpp
@@ -31,6 +31,18 @@
 
 } // namespace
 
+std::string_view nameOf(RolloutPhase phase) {
+  switch (phase) {
+  case RolloutPhase::Running:
+    return "running";
+  case RolloutPhase::Done:
+    return "done";
+  case RolloutPhase::TakenBack:
+    return "taken back";
+  }
+  return "running";
+}
+
 std::size_t latencyBucket(double latencyUs) {
   if (latencyUs <= FirstLatencyBoundUs)
     return 0;
--- a/src/rollout/rollout_rule.cpp
+++ b/src/rollout/rollout_rule.cpp
@@ -308,8 +308,10 @@
     old += window.Baseline;
   const double oldRate =
       old.Requests == 0 ? 0 : scoreBound({old.Requests, old.Failures}, BaselineBoundZ);
-  if (failuresConfinedToHosts(evidence.newVersionByHost(now, buckets, route), oldRate))
-    judgement.Result = Verdict::Undecided;
+  if (!failuresConfinedToHosts(evidence.newVersionByHost(now, buckets, route), oldRate))
+    return judgement;
+  judgement.Result = Verdict::Undecided;
+  judgement.Withheld = judgement.Reason;
   return judgement;
 }
 
@@ -341,6 +343,7 @@
 Judgement judge(const DecisionRule &rule, const EvidenceAggregator &evidence, TimeMs now) {
   Judgement worst;
   Judgement overall;
+  std::string withheld;
   const bool normalise = normalisesHostSpeeds(rule);
   const EvidenceAggregator::HostShifts shifts =
       normalise ? evidence.hostShifts(now) : EvidenceAggregator::HostShifts{};
@@ -355,18 +358,22 @@
       Judgement judgement =
           withoutHostFaults(rule, judgeWindow(rule, window, absl::StrCat("route ", route.str())),
                             window, evidence, now, buckets, &route);
+      withheld = judgement.Withheld.empty() ? withheld : judgement.Withheld;
       if (judgement.Result > Verdict::Good && judgement.Result > worst.Result)
         worst = std::move(judgement);
     }
     const Window all = windowOf(strata, nullptr, evidence);
     overall = withoutHostFaults(rule, judgeWindow(rule, all, "all routes"), all, evidence, now,
                                 buckets, nullptr);
+    withheld = overall.Withheld.empty() ? withheld : overall.Withheld;
     if (overall.Result > Verdict::Good && overall.Result > worst.Result)
       worst = overall;
     if (worst.Result == Verdict::Bad)
       return worst;
   }
-  return worst.Result == Verdict::Suspect ? worst : overall;
+  Judgement result = worst.Result == Verdict::Suspect ? worst : overall;
+  result.Withheld = withheld;
+  return result;
 }
 
 } // namespace jasmineloom
--- a/src/rollout/rollout_rule.h
+++ b/src/rollout/rollout_rule.h
@@ -70,6 +70,9 @@
   Verdict Result = Verdict::Undecided;
   std::string Reason;
   bool FromFailures = false; ///< The verdict is based on failures, not on latencies.
+  /// Reason of a verdict that was not passed because its failures are confined to some hosts;
+  /// empty: none.
+  std::string Withheld{};
 };
 
 /// @returns whether only some of the new version's hosts fail. Those hosts are then at fault, as a
--- a/src/rollout/rollout_type.h
+++ b/src/rollout/rollout_type.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jasmineloom {
@@ -14,6 +15,9 @@
 /// Merging progress keeps the phase with the higher value, so the order of the values matters.
 enum class RolloutPhase : std::uint8_t { Running, Done, TakenBack };
 
+/// @returns the name used in the time line.
+std::string_view nameOf(RolloutPhase phase);
+
 /// Current state of a rollout. Merging keeps the later phase and the higher stage.
 struct RolloutProgress {
   RolloutID ID;
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -38,6 +38,13 @@
   std::uint64_t Snapshots = 0;
   std::uint64_t Bytes = 0;
 };
+/// Gates' reports on rollouts.
+struct EvidenceCounters {
+  std::uint64_t Sent = 0;      ///< To a controller, by this node.
+  std::uint64_t Received = 0;  ///< As a controller.
+  std::uint64_t Failovers = 0; ///< Sent to the second controller because the first did not answer.
+  std::uint64_t Lost = 0;      ///< Received by no controller.
+};
 /// Metrics of the control task, for the metrics page.
 struct ControlFigures {
   ConfigVersion HeldVersion = 0;
@@ -50,6 +57,7 @@
   bool StoreReachable = false;
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
+  EvidenceCounters EvidenceReports;
   DurationMs LongestStall = 0; ///< Longest lateness of the control task's event loop.
 };
 /// Ends the task's event loop.
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -239,6 +239,16 @@
   return {context.RoutingDraw, objectiveAt > now ? objectiveAt - now : 0, context.Key};
 }
 
+void IngressTask::countNewVersion(const RequestContext &context, const ServiceView &service,
+                                  const Endpoint &endpoint, TimeMs now) {
+  const bool running =
+      service.Rollout.has_value() && service.Progress.Phase == RolloutPhase::Running;
+  if (!running || endpoint.Version != service.Rollout->To)
+    return;
+  const VersionLabel drawn = drawnVersion(service, placementOf(context, now), now);
+  Stats.recordNewVersion(service.Name, drawn == endpoint.Version);
+}
+
 void IngressTask::startAttempt(RequestContext &context) {
   const TimeMs now = steadyClockMs();
   // When the node is short of CPU time, the event loop may process a gate's response before the
@@ -260,6 +270,7 @@
     failRequest(context, context.LastRefusal);
     return;
   }
+  countNewVersion(context, *service, *endpoint, now);
   ++context.Attempts;
   context.Host = endpoint->Host;
   EndpointStates.recordSent(context.Host);
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -43,6 +43,8 @@
   void handleDisconnect(RequestID id);
   static PlacementRequest placementOf(const RequestContext &context, TimeMs now);
   void startAttempt(RequestContext &context);
+  void countNewVersion(const RequestContext &context, const ServiceView &service,
+                       const Endpoint &endpoint, TimeMs now);
   void handleAttemptResult(RequestID id, HttpResult result);
   void recordAttempt(RequestContext &context, const HttpResult &result, TimeMs now);
   bool mayRetry(RequestContext &context, AttemptResult result, TimeMs now);
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -40,6 +40,10 @@
 
 void Metrics::recordGateRefusal(Refusal refusal) { ++GateRefusals[refusal]; }
 
+void Metrics::recordNewVersion(const ServiceName &service, bool byShare) {
+  ++NewVersion[{service.str(), byShare}];
+}
+
 std::string Metrics::text() const {
   std::string out = "# TYPE jasmineloom_requests_total counter\n";
   for (const auto &[key, n] : Outcomes)
@@ -59,6 +63,10 @@
   for (const auto &[reason, n] : GateRefusals)
     absl::StrAppend(&out, "jasmineloom_gate_refusals_total{reason=\"", toString(nameOf(reason)),
                     "\"} ", n, "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_new_version_requests_total counter\n");
+  for (const auto &[key, n] : NewVersion)
+    absl::StrAppend(&out, "jasmineloom_new_version_requests_total{service=\"", key.first,
+                    "\",reason=\"", key.second ? "share" : "no-old-upstream", "\"} ", n, "\n");
   absl::StrAppend(&out, "# TYPE jasmineloom_retries_total counter\njasmineloom_retries_total ",
                   Retries, "\n");
   addGauge(out, "held_version", Control.HeldVersion);
@@ -73,6 +81,10 @@
   addGauge(out, "config_snapshots_sent", Control.Transfers.Snapshots);
   addGauge(out, "config_bytes_sent", Control.Transfers.Bytes);
   addGauge(out, "link_failures", Control.LinkFailures);
+  addGauge(out, "evidence_reports_sent", Control.EvidenceReports.Sent);
+  addGauge(out, "evidence_reports_received", Control.EvidenceReports.Received);
+  addGauge(out, "evidence_failovers", Control.EvidenceReports.Failovers);
+  addGauge(out, "evidence_reports_lost", Control.EvidenceReports.Lost);
   addGauge(out, "control_longest_stall_ms", Control.LongestStall);
   addGauge(out, "traffic_longest_stall_ms", LongestStall);
   rusage usage{};
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -25,6 +25,9 @@
   /// @param latencyUs time since its arrival, microseconds; used for answered requests only.
   void recordRequest(const RouteName &route, Outcome outcome, Refusal reason, double latencyUs);
   void recordRetry() { ++Retries; }
+  /// Counts an attempt that was sent to the new version of a running rollout.
+  /// @param byShare the version was drawn by its share; otherwise the old one had no upstream.
+  void recordNewVersion(const ServiceName &service, bool byShare);
   void recordGateRefusal(Refusal refusal);
   void setControlFigures(const ControlFigures &figures) { Control = figures; }
   /// @param longest longest lateness of the traffic task's event loop.
@@ -48,6 +51,7 @@
   std::map<OutcomeKey, std::uint64_t> Outcomes;
   std::map<std::string, Latency> Latencies;
   std::map<Refusal, std::uint64_t> GateRefusals;
+  std::map<std::pair<std::string, bool>, std::uint64_t> NewVersion; ///< By service and byShare.
   std::uint64_t Retries = 0;
   DurationMs LongestStall = 0;
   ControlFigures Control;
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -324,6 +324,12 @@
   return it == Entries.end() ? 0 : it->second.FirstSeenAt;
 }
 
+VersionLabel drawnVersion(const ServiceView &service, const PlacementRequest &request, TimeMs now) {
+  const std::uint64_t draw =
+      request.Key.empty() ? request.Draw : std::hash<std::string>()(request.Key);
+  return versionFor(service, draw, now);
+}
+
 const Endpoint *chooseEndpoint(const ServiceView &service, const EndpointStats &stats,
                                const std::set<HostID> &tried, std::mt19937_64 &random, TimeMs now) {
   return chooseEndpoint(service, stats, tried, random, now, PlacementRequest{random(), 0, {}});
@@ -332,7 +338,7 @@
 const Endpoint *chooseEndpoint(const ServiceView &service, const EndpointStats &stats,
                                const std::set<HostID> &tried, std::mt19937_64 &random, TimeMs now,
                                const PlacementRequest &request) {
-  const VersionLabel drawn = versionFor(service, request.Draw, now);
+  const VersionLabel drawn = drawnVersion(service, request, now);
   const std::vector<const Endpoint *> choices =
       withFallback(service, drawn, [&](const VersionLabel &version) {
         return sampleVersion(service, version, stats, tried, random, now);
@@ -343,7 +349,7 @@
 const Endpoint *chooseEndpointForKey(const ServiceView &service, const std::string &key,
                                      const EndpointStats &stats, const std::set<HostID> &tried,
                                      TimeMs now) {
-  const VersionLabel version = versionFor(service, std::hash<std::string>()(key), now);
+  const VersionLabel version = drawnVersion(service, PlacementRequest{0, 0, key}, now);
   const std::vector<const Endpoint *> choices =
       withFallback(service, version, [&](const VersionLabel &it) {
         return candidates(service, it, stats, tried, now);
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -114,6 +114,10 @@
   bool operator==(const EndpointSearch &) const = default;
 };
 
+/// @returns the version that a request is meant for by its draw or key. It goes to the rollout's
+/// other version if this one has no upstream.
+VersionLabel drawnVersion(const ServiceView &service, const PlacementRequest &request, TimeMs now);
+
 /// Finds the upstream for the next attempt of a request: one with a free slot or, if none is
 /// expected to have one or too many had none, the one with the shortest expected wait. Each attempt
 /// sends the whole request, so hosts that are known to be full are not tried for a free slot.
