Compare models of failing hosts and of a failing version instead of the better half of the hosts

Cause: failuresConfinedToHosts sorted the new version's hosts by their failure rate and looked at the better half, which has next to no failures by that selection alone once there are many hosts with few requests each; the verdict was withheld, and the share went on to rise. Class: a selection by the outcome that is then judged by the same outcome. The marginal likelihoods of two models are compared instead: all hosts fail at similar rates, or some fail at any rate and the others like the old version.

--- a/src/rollout/rollout_rule.cpp
+++ b/src/rollout/rollout_rule.cpp
@@ -1,6 +1,8 @@
 /// @file rollout_rule.cpp Statistical rules that compare the two versions of a rollout.
 #include "rollout/rollout_rule.h"
 
+#include "rollout/host_fault.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -279,21 +281,6 @@
   return judgement;
 }
 
-/// Minimum number of requests to the healthy hosts before faults are attributed to the others.
-constexpr std::uint64_t MinHealthyRequests = 16;
-/// A host with fewer requests is left out.
-constexpr std::uint64_t MinHostRequests = 3;
-/// Failures of the healthy hosts beyond the old version's rate that are allowed: a factor, a share
-/// of the requests, and a number of failures, as a single failure among few requests is not
-/// significant.
-constexpr double HealthyRateFactor = 1.2;
-constexpr double HealthyExcessRate = 0.02;
-constexpr double HealthyExtraFailures = 1;
-
-double failureRate(const HostCounts &host) {
-  return static_cast<double>(host.Failures) / static_cast<double>(host.Requests);
-}
-
 /// @returns the judgement, with a verdict of Undecided if it counts failures that are confined to
 /// some of the new version's hosts.
 Judgement withoutHostFaults(const DecisionRule &rule, Judgement judgement, const Window &window,
@@ -308,7 +295,13 @@
     old += window.Baseline;
   const double oldRate =
       old.Requests == 0 ? 0 : scoreBound({old.Requests, old.Failures}, BaselineBoundZ);
-  if (!failuresConfinedToHosts(evidence.newVersionByHost(now, buckets, route), oldRate))
+  // A shorter window shows a fault of some hosts that has just begun more clearly.
+  const bool confined =
+      std::any_of(WindowBuckets.begin(), WindowBuckets.end(), [&](std::uint64_t shorter) {
+        return shorter <= buckets &&
+               failuresConfinedToHosts(evidence.newVersionByHost(now, shorter, route), oldRate);
+      });
+  if (!confined)
     return judgement;
   judgement.Result = Verdict::Undecided;
   judgement.Withheld = judgement.Reason;
@@ -322,24 +315,6 @@
 
 } // namespace
 
-bool failuresConfinedToHosts(std::vector<HostCounts> hosts, double oldRate) {
-  std::erase_if(hosts, [](const HostCounts &it) { return it.Requests < MinHostRequests; });
-  if (hosts.size() < 2)
-    return false;
-  std::sort(hosts.begin(), hosts.end(), [](const HostCounts &left, const HostCounts &right) {
-    return failureRate(left) < failureRate(right);
-  });
-  HostCounts healthy;
-  for (std::size_t it = 0; it < (hosts.size() + 1) / 2; ++it) {
-    healthy.Requests += hosts[it].Requests;
-    healthy.Failures += hosts[it].Failures;
-  }
-  const auto requests = static_cast<double>(healthy.Requests);
-  const double allowed =
-      requests * (HealthyRateFactor * oldRate + HealthyExcessRate) + HealthyExtraFailures;
-  return healthy.Requests >= MinHealthyRequests && static_cast<double>(healthy.Failures) <= allowed;
-}
-
 Judgement judge(const DecisionRule &rule, const EvidenceAggregator &evidence, TimeMs now) {
   Judgement worst;
   Judgement overall;
--- a/src/rollout/rollout_rule.h
+++ b/src/rollout/rollout_rule.h
@@ -75,11 +75,6 @@
   std::string Withheld{};
 };
 
-/// @returns whether only some of the new version's hosts fail. Those hosts are then at fault, as a
-/// fault of the version itself shows on all of them.
-/// @param oldRate upper bound of the old version's failure rate.
-bool failuresConfinedToHosts(std::vector<HostCounts> hosts, double oldRate);
-
 /// Evaluates a rollout's new version over several time windows, for all routes together and for
 /// each route.
 Judgement judge(const DecisionRule &rule, const EvidenceAggregator &evidence, TimeMs now);
--- a/tests/rollout_scale_test.cpp
+++ b/tests/rollout_scale_test.cpp
@@ -4,7 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "order_trace.h"
-#include "rollout/rollout_rule.h"
+#include "rollout/host_fault.h"
 
 using namespace jasmineloom;
 using namespace jasmineloom::testing;
