Raise a new version's share only with the reports of half of the gates

Callers saw: a bad version got all of a service's requests after its share had been lowered again (EXPOSURE). Cause: gates report to the first of two controllers, and the second one decides at the same time, by what its own gate has served; five requests were enough. Class: a decision without the evidence, taken as if there was none against it. A controller now needs recent reports of at least half of the service's ready gates to raise the share or to complete the order; taking a version back needs none. Gates without requests report as well, so that they count.

--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -22,9 +22,6 @@
 constexpr DurationMs StatusReadTimeout = 1 * MsPerSecond;
 /// Delay by which the second controller acts after the first.
 constexpr DurationMs SecondControllerDelay = 1 * MsPerSecond;
-/// Minimum number of requests to the new version before its share rises beyond that of the
-/// first stage.
-constexpr std::uint64_t MinNewVersionRequests = 5;
 
 /// Counts of both versions, summed over all routes.
 struct EvidenceSum {
@@ -269,9 +266,10 @@
   const DurationMs elapsed = now - state.KnownSince + state.PriorElapsed;
   const DurationMs sinceStep = now - std::max(state.StageSince, state.KnownSince);
   const EvidenceSum counts = sumOf(LocalController.strata(spec, now));
-  const bool enoughRequests = progress.Stage < 1 || counts.New.Requests >= MinNewVersionRequests;
+  const OrderEvidence evidence{Node.hosts().countReady(spec.Service),
+                               LocalController.reportingGates(spec, now), counts.New.Requests};
   std::optional<RolloutProgress> next;
-  if (judgement.Result == Verdict::Bad || enoughRequests)
+  if (judgement.Result == Verdict::Bad || hasEnoughEvidence(evidence, progress.Stage))
     next = nextOrderProgress(judgement, progress, elapsed < delay ? 0 : elapsed - delay, sinceStep,
                              counts.requestsPerSecond());
   if (next.has_value() && Node.updateProgress(*next)) {
@@ -280,8 +278,8 @@
                 : next->Phase == RolloutPhase::Done
                     ? "done: " + next->Reason
                     : absl::StrCat("stage ", next->Stage, " after ", elapsed, " ms; ",
-                                   counts.text(), "; ", LocalController.reportingGates(now),
-                                   " gates report"));
+                                   counts.text(), "; ", evidence.ReportingGates, " of ",
+                                   evidence.Gates, " gates report"));
     StateChanges changes;
     changes.ProgressChanged = true;
     propagateChanges(changes);
--- a/src/mesh/host_table.cpp
+++ b/src/mesh/host_table.cpp
@@ -85,6 +85,14 @@
   return false;
 }
 
+std::size_t HostTable::countReady(const ServiceName &service) const {
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [&service](const auto &it) {
+        const HostRecord &record = it.second.Record;
+        return record.Service == service && record.State == HostState::Ready;
+      }));
+}
+
 std::vector<HostID> HostTable::members(const DataCentreName &dataCentre) const {
   std::vector<HostID> found;
   for (const auto &[host, entry] : Entries) {
--- a/src/mesh/host_table.h
+++ b/src/mesh/host_table.h
@@ -52,6 +52,9 @@
   /// @returns the hosts of a data centre that are not gone.
   std::vector<HostID> members(const DataCentreName &dataCentre) const;
 
+  /// @returns the number of hosts that are ready to serve a service.
+  std::size_t countReady(const ServiceName &service) const;
+
   /// @returns the number of records, including tombstones.
   std::size_t size() const { return Entries.size(); }
 
--- a/src/rollout/rollout_controller_base.cpp
+++ b/src/rollout/rollout_controller_base.cpp
@@ -40,7 +40,7 @@
       ClockOffsets.try_emplace(Sender{report.Host, report.Incarnation}, received - report.Bucket)
           .first->second;
   report.Bucket += offset;
-  LastReports[report.Host] = now;
+  LastReports[spec.ID][report.Host] = now;
   aggregatorOf(spec).addReport(report);
 }
 
@@ -65,20 +65,23 @@
   return nextRolloutProgress(judgement(DeclaredRule, spec, steadyNow), spec, progress, now);
 }
 
-std::size_t RolloutController::reportingGates(TimeMs now) const {
+std::size_t RolloutController::reportingGates(const RolloutSpec &spec, TimeMs now) const {
+  const auto reports = LastReports.find(spec.ID);
+  if (reports == LastReports.end())
+    return 0;
   return static_cast<std::size_t>(
-      std::count_if(LastReports.begin(), LastReports.end(),
+      std::count_if(reports->second.begin(), reports->second.end(),
                     [now](const auto &it) { return now <= it.second + RecentReportTime; }));
 }
 
 void RolloutController::keepOnly(const std::vector<RolloutID> &rollouts) {
-  if (rollouts.empty()) {
+  if (rollouts.empty())
     ClockOffsets.clear();
-    LastReports.clear();
-  }
-  std::erase_if(Aggregators, [&rollouts](const auto &it) {
+  const auto ended = [&rollouts](const auto &it) {
     return std::find(rollouts.begin(), rollouts.end(), it.first) == rollouts.end();
-  });
+  };
+  std::erase_if(Aggregators, ended);
+  std::erase_if(LastReports, ended);
 }
 
 } // namespace jasmineloom
--- a/src/rollout/rollout_controller_base.h
+++ b/src/rollout/rollout_controller_base.h
@@ -37,8 +37,8 @@
   /// Judges an ordered rollout's new version.
   Judgement orderJudgement(const RolloutSpec &spec, TimeMs now);
   std::vector<EvidenceStratum> strata(const RolloutSpec &spec, TimeMs now);
-  /// @returns the number of gates that have reported within RecentReportTime.
-  std::size_t reportingGates(TimeMs now) const;
+  /// @returns the number of gates that have reported on a rollout within RecentReportTime.
+  std::size_t reportingGates(const RolloutSpec &spec, TimeMs now) const;
   /// Drops the evidence of rollouts that are not in the list.
   void keepOnly(const std::vector<RolloutID> &rollouts);
 
@@ -54,7 +54,8 @@
   };
 
   std::map<RolloutID, EvidenceAggregator> Aggregators;
-  std::map<HostID, TimeMs> LastReports;         ///< By gate, when its last report arrived.
+  /// By rollout and gate, when its last report arrived.
+  std::map<RolloutID, std::map<HostID, TimeMs>> LastReports;
   std::map<Sender, std::uint64_t> ClockOffsets; ///< Own bucket minus the sender's, modulo 2^64.
   DecisionRule DeclaredRule = StratifiedRule{};
   DecisionRule OrderRule = orderRule();
--- a/src/rollout/rollout_order.cpp
+++ b/src/rollout/rollout_order.cpp
@@ -42,6 +42,9 @@
 /// Additional requests to the new version that an early second share may cause.
 constexpr double MaxEarlyRequests = 30;
 constexpr std::uint32_t LowRateStage = 2;
+/// Minimum number of requests to the new version before its share rises beyond that of the first
+/// stage.
+constexpr std::uint64_t MinNewVersionRequests = 5;
 
 /// Error of the estimated speed difference between two hosts, in latency buckets.
 constexpr std::size_t SpeedErrorBuckets = 2;
@@ -132,6 +135,13 @@
                                  static_cast<double>(duration));
 }
 
+bool hasEnoughEvidence(const OrderEvidence &evidence, std::uint32_t stage) {
+  if (stage == 0)
+    return true;
+  const bool reported = 2 * evidence.ReportingGates >= evidence.Gates;
+  return reported && evidence.NewRequests >= MinNewVersionRequests;
+}
+
 std::optional<RolloutProgress> nextOrderProgress(const Judgement &judgement,
                                                  const RolloutProgress &progress,
                                                  DurationMs elapsed, DurationMs stageAge,
--- a/src/rollout/rollout_order.h
+++ b/src/rollout/rollout_order.h
@@ -42,6 +42,18 @@
 /// @returns the rule that ordered rollouts are judged by.
 DecisionRule orderRule();
 
+/// What a controller has seen of an ordered rollout.
+struct OrderEvidence {
+  std::size_t Gates = 0;          ///< Ready gates of the service.
+  std::size_t ReportingGates = 0; ///< Those that have reported recently.
+  std::uint64_t NewRequests = 0;  ///< Requests to the new version that were reported.
+  auto operator<=>(const OrderEvidence &) const = default;
+};
+
+/// @returns whether a controller may raise the new version's share or complete the order. One to
+/// which the gates do not report, as they report to the other controller, knows too little.
+bool hasEnoughEvidence(const OrderEvidence &evidence, std::uint32_t stage);
+
 /// Decides the next step of an ordered rollout.
 /// @param elapsed time since the controller first received the order.
 /// @param stageAge time since the current stage was entered.
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -629,11 +629,13 @@
 
 void GateTask::sendEvidence() {
   EvidenceTimer.start(EvidencePeriod);
-  if (!View || Evidence.empty())
+  if (!View)
     return;
   const std::uint64_t bucket = steadyClockMs() / EvidenceBucketMs;
   const ServiceView *service = View->serviceNamed(AdmissionControl.upstream().Service);
   if (service != nullptr && service->Rollout.has_value()) {
+    // A controller counts the gates that report, so one without requests reports as well.
+    Evidence.try_emplace(bucket);
     EvidenceUpdate update;
     for (const auto &[index, counts] : Evidence)
       update.Reports.push_back({service->Rollout->ID, Settings.Host, Settings.Incarnation, index,
--- a/tests/order_test.cpp
+++ b/tests/order_test.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE order
 #include <boost/test/unit_test.hpp>
 
+#include "rollout/rollout_controller_base.h"
 #include "rollout/rollout_func.h"
 #include "rollout/rollout_order.h"
 
@@ -53,6 +54,33 @@
   BOOST_TEST(thirdVersion.RolledBack.contains(VersionLabel("v2")));
 }
 
+BOOST_AUTO_TEST_CASE(a_controller_to_which_few_gates_report_does_not_raise_the_share) {
+  constexpr std::uint32_t ComparisonStage = 5;
+  // The second controller of an order sees only what its own gate has served.
+  BOOST_TEST(!hasEnoughEvidence({276, 1, 14}, ComparisonStage));
+  BOOST_TEST(!hasEnoughEvidence({276, 0, 14}, ComparisonStage));
+  BOOST_TEST(hasEnoughEvidence({276, 138, 900}, ComparisonStage));
+  BOOST_TEST(hasEnoughEvidence({3, 2, 14}, 1));
+  BOOST_TEST(!hasEnoughEvidence({3, 3, 0}, 1));
+  // The first share needs none, as no gate reports before it.
+  BOOST_TEST(hasEnoughEvidence({276, 0, 0}, 0));
+}
+
+BOOST_AUTO_TEST_CASE(gates_are_counted_for_each_rollout_while_their_reports_are_recent) {
+  RolloutController controller;
+  const RolloutSpec first{
+      RolloutID("a.1"), ServiceName("a"), VersionLabel("v1"), VersionLabel("v2"), 0, 0};
+  const RolloutSpec second{
+      RolloutID("b.2"), ServiceName("b"), VersionLabel("v1"), VersionLabel("v2"), 0, 0};
+  constexpr TimeMs Now = 100000;
+  controller.addReport(first, {first.ID, HostID("g1"), 1, 5, {}, 0}, Now);
+  controller.addReport(first, {first.ID, HostID("g2"), 1, 9, {}, 0}, Now + 1000);
+  controller.addReport(second, {second.ID, HostID("g3"), 1, 7, {}, 0}, Now + 1000);
+  BOOST_TEST(controller.reportingGates(first, Now + 1000) == 2U);
+  BOOST_TEST(controller.reportingGates(second, Now + 1000) == 1U);
+  BOOST_TEST(controller.reportingGates(first, Now + RecentReportTime + 1) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_suspect_verdict_at_full_share_starts_one_more_comparison) {
   RolloutProgress progress = progressOf(1, RolloutPhase::Running, "v2");
   progress.Stage = 4;
