--- a/standins/upstream_standin.cpp
+++ b/standins/upstream_standin.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <deque>
 #include <iostream>
 #include <list>
 #include <map>
@@ -37,6 +38,9 @@
      "Share of requests answered with status 500"},
     {"cold", SettingType::Number, 0, 60000, "0", "ms",
      "Time after the start during which requests take 10 ms longer"},
+    {"limit", SettingType::Text, 0, 4096, "", "",
+     "Requests per second to name as the limit in responses; empty: none"},
+    {"leaving", SettingType::Choice, 0, 0, "no", "", "State in responses that it leaves", "no,yes"},
     {"seed", SettingType::Number, 0, 1000000000, "1", "", "Seed of the random failures"},
     {"log-runs", SettingType::Choice, 0, 0, "no", "",
      "Print the idempotency key of each request when it starts", "no,yes"},
@@ -44,6 +48,8 @@
 
 constexpr DurationMs AnnouncePeriod = 1 * MsPerSecond;
 constexpr DurationMs ColdStartLatency = 10;
+/// Length of the window in which the most arrivals are counted.
+constexpr DurationMs ArrivalWindow = 4 * MsPerSecond;
 
 class UpstreamStandin {
 public:
@@ -62,6 +68,7 @@
     }
     if (evhttp_find_header(evhttp_request_get_input_headers(request), "x-crash") != nullptr)
       std::_Exit(9);
+    recordArrival(wallClockMs());
     MaxInFlight = std::max(MaxInFlight, ++InFlight);
     if (InFlight > Slots) {
       ++Overruns;
@@ -85,6 +92,13 @@
     std::unique_ptr<Timer> ReplyTimer;
   };
 
+  void recordArrival(TimeMs now) {
+    Arrivals.push_back(now);
+    while (Arrivals.front() + ArrivalWindow <= now)
+      Arrivals.pop_front();
+    MostArrivals = std::max(MostArrivals, Arrivals.size());
+  }
+
   void scheduleReply(evhttp_request *request, const std::string &path) {
     DurationMs latencyMs = static_cast<DurationMs>(Values.number("latency"));
     const std::string &slowPath = Values.text("slow-path");
@@ -119,12 +133,17 @@
           pending->Path + "\",\"token\":\"" + (token == nullptr ? "" : token) + "\"}\n");
       evhttp_add_header(evhttp_request_get_output_headers(request), "x-upstream-version",
                         Values.text("serves-version").c_str());
+      if (!Values.text("limit").empty())
+        evhttp_add_header(evhttp_request_get_output_headers(request), "x-upstream-limit",
+                          Values.text("limit").c_str());
+      if (Values.text("leaving") == "yes")
+        evhttp_add_header(evhttp_request_get_output_headers(request), "x-upstream-leaving", "1");
       evhttp_send_reply(request, fails ? 500 : 200, fails ? "failed" : "OK", buf.get());
     }
     PendingReplies.erase(pending);
   }
 
-  /// Serves /standin/...: set, drain, stats and keys.
+  /// Serves /standin/...: set, drain, count, stats and keys.
   void handleControl(evhttp_request *request) {
     evkeyvalq query{};
     const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
@@ -140,6 +159,10 @@
       Draining = true;
       announce();
     }
+    if (path == "/standin/count") {
+      Arrivals.clear();
+      MostArrivals = 0;
+    }
     if (path == "/standin/stats") {
       long duplicated = 0;
       for (const auto &[key, n] : RunsByKey)
@@ -147,7 +170,7 @@
       body = "total " + std::to_string(RequestCount) + "\nkeys " +
              std::to_string(RunsByKey.size()) + "\ndoubled " + std::to_string(duplicated) +
              "\nmost-in-flight " + std::to_string(MaxInFlight) + "\noverruns " +
-             std::to_string(Overruns) + "\n";
+             std::to_string(Overruns) + "\nmost-in-4s " + std::to_string(MostArrivals) + "\n";
     }
     if (path == "/standin/keys") {
       body.clear();
@@ -189,6 +212,9 @@
   evhttp_connection *NodeConnection = nullptr;
   std::list<PendingReply> PendingReplies;
   std::map<std::string, int> RunsByKey;
+  std::deque<TimeMs> Arrivals; ///< Of the last ArrivalWindow.
+  std::size_t MostArrivals =
+      0; ///< Most arrivals in an ArrivalWindow since the last /standin/count.
   long Slots = 1;
   long InFlight = 0;
   long MaxInFlight = 0;
