Keep the requests to an upstream within the limit that it names

Upstreams got far more requests than the limit that they had named in their responses (Server-Limit). Cause: nothing read it. Every request to an upstream passes the gate beside it, so the gate alone keeps the sum over all nodes exact, with a token bucket and without a message between nodes. A gate that starts again adopts the limit that ingresses pass on with their requests, until its upstream's process says otherwise. Responses tell what is left of the limit, and placing avoids upstreams whose limit is used up, so that the surplus is not tried and refused; what can't start in time is refused at once with the time to come back. Only an upstream's own final response names or lifts a limit; malformed and repeated fields state nothing; a limit ends with its process, also where the next one has the same ID (it is told by the start of the process).

--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -167,7 +167,7 @@
 void ControlTask::handle(const UpstreamAnnounced &message) {
   const bool draining = message.Draining || GateClosed;
   Node.announce(draining ? HostState::Draining : HostState::Ready, message.Upstream.Service,
-                message.Upstream.Version, message.Upstream.Slots, message.Upstream.ID,
+                message.Upstream.Version, message.Upstream.Slots, processOf(message.Upstream),
                 steadyClockMs());
   recordEvent("host", Settings.Identity.Host.str(),
               absl::StrCat(draining ? "draining " : "serves ", message.Upstream.Service.str(), " ",
--- a/src/traffic/gate_base.cpp
+++ b/src/traffic/gate_base.cpp
@@ -1,6 +1,8 @@
 /// @file gate_base.cpp Admission control in front of the local upstream.
 #include "traffic/gate_base.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace jasmineloom {
@@ -24,6 +26,12 @@
   return left.ObjectiveAt < right.ObjectiveAt;
 }
 
+std::string processOf(const LocalUpstream &upstream) {
+  if (upstream.ID.empty() || upstream.ProcessStart == 0)
+    return upstream.ID;
+  return absl::StrCat(upstream.ID, "@", upstream.ProcessStart);
+}
+
 void CrashTracker::recordCrash(std::uint64_t fingerprint, TimeMs now) {
   if (Entries.size() >= MaxFingerprints) {
     const auto oldest =
@@ -61,7 +69,9 @@
 void Gate::setUpstream(const LocalUpstream &upstream) {
   if (upstream == Upstream)
     return;
-  if (upstream.ID != Upstream.ID) {
+  if (processOf(upstream) != processOf(Upstream)) {
+    Limit.lift();
+    LimitStated = false;
     MeanServiceMs = 0;
     RouteServiceMs.clear();
     FailureShare = 0;
@@ -70,6 +80,24 @@
   TakenBack = false;
 }
 
+bool Gate::applyLimit(const LimitStatement &statement, TimeMs now) {
+  if (std::holds_alternative<NoLimitStatement>(statement))
+    return false;
+  LimitStated = true;
+  const double before = Limit.perSecond();
+  if (const auto *named = std::get_if<LimitNamed>(&statement); named != nullptr)
+    Limit.set(named->PerSecond, now);
+  else
+    Limit.lift();
+  return Limit.perSecond() != before;
+}
+
+void Gate::adoptLimit(double perSecond, const std::string &process, TimeMs now) {
+  if (LimitStated || Limit.active() || process.empty() || process != processOf(Upstream))
+    return;
+  Limit.set(perSecond, now);
+}
+
 Refusal Gate::refusalFor(const GateRequest &request, TimeMs now) const {
   if (Upstream.Slots == 0)
     return Refusal::NoUpstream;
@@ -87,13 +115,14 @@
 }
 
 bool Gate::mayRun(const GateRequest &request, TimeMs now) const {
-  if (InFlight >= Upstream.Slots)
+  if (InFlight >= Upstream.Slots || !Limit.mayStart(now))
     return false;
   return SuspectRunning == 0 || !Crashes.suspect(request.Fingerprint, now);
 }
 
 void Gate::start(const GateRequest &request, TimeMs now) {
   ++InFlight;
+  Limit.recordStart(now);
   if (Crashes.suspect(request.Fingerprint, now))
     SuspectRunning = request.Fingerprint;
 }
@@ -117,10 +146,9 @@
   return {meetsObjective(request, 0, now), request.Worth, objective};
 }
 
-double Gate::expectedWait(const GateRequest &request, TimeMs now) const {
+double Gate::slotWait(const QueueRank &rank, TimeMs now) const {
   if (InFlight < Upstream.Slots || Upstream.Slots == 0)
     return 0;
-  const QueueRank rank = rankOf(request, now);
   double ahead = MeanServiceMs;
   for (const GateRequest &it : Queue) {
     if (!ranksBefore(rank, rankOf(it, now)))
@@ -129,6 +157,16 @@
   return ahead / Upstream.Slots;
 }
 
+double Gate::expectedWait(const GateRequest &request, TimeMs now) const {
+  const QueueRank rank = rankOf(request, now);
+  if (!Limit.active())
+    return slotWait(rank, now);
+  const auto ahead = std::count_if(Queue.begin(), Queue.end(), [&](const GateRequest &it) {
+    return !ranksBefore(rank, rankOf(it, now));
+  });
+  return std::max(slotWait(rank, now), Limit.waitFor(static_cast<double>(ahead + 1), now));
+}
+
 bool Gate::acceptsLate(const GateRequest &request, double wait, TimeMs now) const {
   if (meetsObjective(request, wait, now))
     return true;
--- a/src/traffic/gate_base.h
+++ b/src/traffic/gate_base.h
@@ -1,6 +1,8 @@
 /// @file gate_base.h Admission control in front of the local upstream.
 #pragma once
 
+#include "traffic/request_limit.h"
+#include "traffic/response_check.h"
 #include "traffic/traffic_type.h"
 
 #include <map>
@@ -45,10 +47,14 @@
   ServiceName Service;
   VersionLabel Version;
   std::uint32_t Slots = 0;
-  std::string ID{}; ///< Identity of its process; empty if not announced.
+  std::string ID{};        ///< Identity of its process; empty if not announced.
+  TimeMs ProcessStart = 0; ///< Unix time; 0: not announced. Its ID may be used again.
   bool operator==(const LocalUpstream &) const = default;
 };
 
+/// @returns a name that tells the upstream's process from earlier ones; empty if it has no ID.
+std::string processOf(const LocalUpstream &upstream);
+
 /// Decision on a request.
 enum class Admission : std::uint8_t { Run, Queued, Refused };
 
@@ -118,6 +124,15 @@
   /// Refuses new requests while the upstream's version is rolled back.
   void setTakenBack(bool takenBack) { TakenBack = takenBack; }
 
+  /// Applies what a response states of the upstream's limit.
+  /// @returns whether a limit was named for the first time, changed or lifted.
+  bool applyLimit(const LimitStatement &statement, TimeMs now);
+  /// Adopts the limit that another node knows of, if the upstream's process has stated nothing
+  /// since this gate started.
+  /// @param process process that named the limit; see processOf().
+  void adoptLimit(double perSecond, const std::string &process, TimeMs now);
+  const RequestLimit &limit() const { return Limit; }
+
   /// Decides whether a request runs now, waits in the queue or is refused.
   AdmissionResult admit(const GateRequest &request, TimeMs now);
 
@@ -167,6 +182,7 @@
   bool meetsObjective(const GateRequest &request, double wait, TimeMs now) const;
   QueueRank rankOf(const GateRequest &request, TimeMs now) const;
   bool acceptsLate(const GateRequest &request, double wait, TimeMs now) const;
+  double slotWait(const QueueRank &rank, TimeMs now) const;
   /// @returns the rank of each queued request, in the order of the queue.
   std::vector<QueueRank> ranks(TimeMs now) const;
   DequeueResult dequeue(TimeMs now);
@@ -175,6 +191,8 @@
   bool Draining = false;
   bool TakenBack = false;
   std::uint32_t InFlight = 0;
+  RequestLimit Limit;
+  bool LimitStated = false; ///< The upstream's process has stated its limit, or that it has none.
   double MeanServiceMs = 0;
   std::map<RouteName, double> RouteServiceMs;
   double FailureShare = 0;
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -12,6 +12,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace jasmineloom {
 
@@ -31,6 +32,8 @@
 /// time in which a process starts again.
 constexpr std::uint32_t MaxCrashChecks = 2;
 constexpr DurationMs CrashCheckDelay = 100;
+/// Relative change of a limit from which it is written to the time line again.
+constexpr double LoggedLimitChange = 0.2;
 constexpr std::size_t KeysPerCall = 10000;
 constexpr DurationMs KeyTransferTimeout = 2 * MsPerSecond;
 constexpr int StatusUnavailable = 503;
@@ -62,6 +65,23 @@
   return value != nullptr && absl::SimpleAtoi(*value, &number) ? number : fallback;
 }
 
+/// A limit that the sender of a request knows of.
+struct KnownLimit {
+  double PerSecond = 0;
+  std::string Process;
+};
+
+std::optional<KnownLimit> parseKnownLimit(const HeaderFields &fields) {
+  const std::string text = headerValue(fields, header::Limit);
+  const std::size_t comma = text.find(',');
+  KnownLimit known;
+  if (comma == std::string::npos || !absl::SimpleAtod(text.substr(0, comma), &known.PerSecond) ||
+      !std::isfinite(known.PerSecond) || known.PerSecond < 0)
+    return std::nullopt;
+  known.Process = text.substr(comma + 1);
+  return known;
+}
+
 } // namespace
 
 struct GateTask::RequestContext {
@@ -85,6 +105,7 @@
   bool CallerDisconnected = false;
   HttpCallID Call = 0;
   std::uint64_t ForwardedAtUs = 0;
+  std::string Process; ///< Process of the upstream to which the request was sent.
 };
 
 GateTask::GateTask(event_base *base, const TrafficSettings &settings, HttpPool &pool,
@@ -181,6 +202,9 @@
   context.CallerRequestID = headerValue(context.Request.Headers, Settings.Http.RequestID);
   if (findHeader(context.Request.Headers, header::Suspect) != nullptr)
     AdmissionControl.crashes().markSuspect(context.Attributes.Fingerprint, now);
+  if (const std::optional<KnownLimit> known = parseKnownLimit(context.Request.Headers);
+      known.has_value())
+    AdmissionControl.adoptLimit(known->PerSecond, known->Process, now);
   Contexts.emplace(context.Request.ID, std::move(owned));
   // Other nodes may route to this host before it has received its configuration.
   if (!View) {
@@ -418,6 +442,7 @@
   }
   context.ForwardedAtUs = steadyClockUs();
   context.ReachedUpstream = true;
+  context.Process = processOf(AdmissionControl.upstream());
   const RequestID id = context.Request.ID;
   context.Call =
       Pool.call(UpstreamAddress, makeUpstreamCall(context, now),
@@ -457,7 +482,9 @@
     refuse(context, Outcome::Unknown, result.TimedOut ? Refusal::Deadline : Refusal::UpstreamCut);
     return;
   }
-  switch (classifyResponse(Settings.Http, result, context.CallerRequestID)) {
+  const ResponseKind kind = classifyResponse(Settings.Http, result, context.CallerRequestID);
+  applyUpstreamState(context, result, kind);
+  switch (kind) {
   case ResponseKind::NotRun:
     AdmissionControl.recordResult(true);
     releaseKey(context);
@@ -479,6 +506,37 @@
   }
 }
 
+void GateTask::applyUpstreamState(const RequestContext &context, const HttpResult &result,
+                                  ResponseKind kind) {
+  // A late response of an earlier process says nothing about the present one.
+  if (context.Process != processOf(AdmissionControl.upstream()))
+    return;
+  if (AdmissionControl.applyLimit(limitStatementOf(Settings.Http, result, kind), steadyClockMs()))
+    recordLimitChange();
+}
+
+void GateTask::recordLimitChange() {
+  const double limit = AdmissionControl.limit().perSecond();
+  Stats.setUpstreamLimit(limit);
+  if (limit != 0 && std::abs(limit - LoggedLimit) <= LoggedLimitChange * LoggedLimit)
+    return;
+  LoggedLimit = limit;
+  Control.put(TrafficTimelineEvent{
+      "limit", AdmissionControl.upstream().Service.str(),
+      limit == 0 ? "lifted by the upstream"
+                 : absl::StrCat("the upstream takes ", limit, " requests per second")});
+}
+
+HeaderFields GateTask::stateHeaders() const {
+  HeaderFields fields = {{header::Load, loadHeaderValue()}};
+  const RequestLimit &limit = AdmissionControl.limit();
+  if (limit.active())
+    fields.push_back({header::Limit, absl::StrFormat("%.3f,%.2f,%s", limit.perSecond(),
+                                                     limit.available(steadyClockMs()),
+                                                     processOf(AdmissionControl.upstream()))});
+  return fields;
+}
+
 std::string GateTask::loadHeaderValue() const {
   return absl::StrFormat("%d,%d,%.0f,%d", AdmissionControl.inFlight(), AdmissionControl.queued(),
                          AdmissionControl.meanServiceMs(), AdmissionControl.failurePerMille());
@@ -489,7 +547,8 @@
   response.Status = result.Status;
   response.Headers = withoutInternalFields(std::move(result.Headers));
   response.Headers.push_back({header::Outcome, std::string(nameOf(Outcome::Answered))});
-  response.Headers.push_back({header::Load, loadHeaderValue()});
+  for (HeaderField &field : stateHeaders())
+    response.Headers.push_back(std::move(field));
   response.Body = std::move(result.Body);
   Server.reply(context.Request.ID, std::move(response));
   finishRequest(context);
@@ -574,14 +633,16 @@
                       DurationMs retryAfter) {
   const TimeMs now = steadyClockMs();
   Stats.recordGateRefusal(reason);
+  if (!AdmissionControl.limit().mayStart(now))
+    Stats.recordLimitRefusal();
   const int status = outcome == Outcome::NotRun ? 503 : reason == Refusal::KeyInUse ? 409 : 502;
   const std::string outcomeName(nameOf(outcome));
   const std::string reasonName(nameOf(reason));
   HttpResponse response{status,
-                        {{header::Outcome, outcomeName},
-                         {header::Reason, reasonName},
-                         {header::Load, loadHeaderValue()}},
+                        {{header::Outcome, outcomeName}, {header::Reason, reasonName}},
                         makeBuffer(absl::StrCat(outcomeName, ": ", reasonName, "\n"))};
+  for (HeaderField &field : stateHeaders())
+    response.Headers.push_back(std::move(field));
   if (context.ReachedUpstream)
     response.Headers.push_back({header::Reached, "1"});
   if (retryAfter != 0)
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -96,6 +96,11 @@
   void respond(RequestContext &context, HttpResult result);
   std::string loadHeaderValue() const;
   void handleUpstreamResult(RequestID id, HttpResult result);
+  /// Applies what a response states of the upstream itself.
+  void applyUpstreamState(const RequestContext &context, const HttpResult &result,
+                          ResponseKind kind);
+  void recordLimitChange();
+  HeaderFields stateHeaders() const;
   void recordEvidence(const RequestContext &context, const HttpResult &result);
   void finishRequest(RequestContext &context);
   void processReleased(const DequeueResult &released);
@@ -125,6 +130,7 @@
   Timer EvidenceTimer;
   Timer CrashCheckTimer;
   std::uint32_t CrashChecks = 0; ///< Since the first of CutFingerprints was recorded.
+  double LoggedLimit = 0;        ///< Limit in the last event of the time line; 0: none.
   RequestLog Log;
 };
 
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -35,7 +35,19 @@
                      absl::SimpleAtoi(parts[1], &report.Queued) &&
                      absl::SimpleAtoi(parts[2], &report.ServiceMs) &&
                      absl::SimpleAtoi(parts[3], &report.FailurePerMille);
-  return valid ? std::optional(report) : std::nullopt;
+  if (!valid)
+    return std::nullopt;
+  const std::vector<std::string> limit =
+      absl::StrSplit(headerValue(fields, header::Limit), absl::MaxSplits(',', 2));
+  double perSecond = 0;
+  double available = 0;
+  if (limit.size() == 3 && absl::SimpleAtod(limit[0], &perSecond) &&
+      absl::SimpleAtod(limit[1], &available)) {
+    report.LimitPerSecond = perSecond;
+    report.LimitAvailable = available;
+    report.LimitProcess = limit[2];
+  }
+  return report;
 }
 
 DurationMs parseRetryAfter(const HeaderFields &fields) {
@@ -227,6 +239,8 @@
     call.Headers.push_back({header::Once, "1"});
   if (context.UpstreamCuts > 0)
     call.Headers.push_back({header::Suspect, "1"});
+  if (const double limit = EndpointStates.limitOf(endpoint); limit > 0)
+    call.Headers.push_back({header::Limit, absl::StrFormat("%.3f,%s", limit, endpoint.InstanceID)});
   if (context.Search.MayQueue)
     call.Headers.push_back({header::MayQueue, "1"});
   call.Body = makeBuffer();
@@ -390,7 +404,8 @@
   response.Status = result.Status;
   response.Headers = endToEndFields(std::move(result.Headers));
   std::erase_if(response.Headers, [](const HeaderField &field) {
-    return absl::EqualsIgnoreCase(field.Name, header::Load);
+    return absl::EqualsIgnoreCase(field.Name, header::Load) ||
+           absl::EqualsIgnoreCase(field.Name, header::Limit);
   });
   response.Headers.push_back({header::Host, context.Host.str()});
   response.Body = std::move(result.Body);
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -69,6 +69,10 @@
                     "\",reason=\"", key.second ? "share" : "no-old-upstream", "\"} ", n, "\n");
   absl::StrAppend(&out, "# TYPE jasmineloom_retries_total counter\njasmineloom_retries_total ",
                   Retries, "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_limit_refusals_total counter\n",
+                  "jasmineloom_limit_refusals_total ", LimitRefusals,
+                  "\n# TYPE jasmineloom_upstream_limit_per_second gauge\n",
+                  "jasmineloom_upstream_limit_per_second ", UpstreamLimit, "\n");
   addGauge(out, "held_version", Control.HeldVersion);
   addGauge(out, "known_version", Control.KnownVersion);
   addGauge(out, "control_bytes_in", Control.BytesIn);
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -29,6 +29,10 @@
   /// @param byShare the version was drawn by its share; otherwise the old one had no upstream.
   void recordNewVersion(const ServiceName &service, bool byShare);
   void recordGateRefusal(Refusal refusal);
+  /// Counts a refusal of the gate while its upstream's limit was used up.
+  void recordLimitRefusal() { ++LimitRefusals; }
+  /// @param perSecond limit that the local upstream names; 0: none.
+  void setUpstreamLimit(double perSecond) { UpstreamLimit = perSecond; }
   void setControlFigures(const ControlFigures &figures) { Control = figures; }
   /// @param longest longest lateness of the traffic task's event loop.
   void setLongestStall(DurationMs longest) { LongestStall = longest; }
@@ -53,6 +57,8 @@
   std::map<Refusal, std::uint64_t> GateRefusals;
   std::map<std::pair<std::string, bool>, std::uint64_t> NewVersion; ///< By service and byShare.
   std::uint64_t Retries = 0;
+  std::uint64_t LimitRefusals = 0;
+  double UpstreamLimit = 0;
   DurationMs LongestStall = 0;
   ControlFigures Control;
 };
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -55,6 +55,7 @@
   const double ahead = std::max(0.0, held + 1 - slots);
   const double utilisation = std::min(1.0, held / slots);
   return service * (1 + ahead / slots + FullLoadSlowdown * utilisation * utilisation) +
+         stats.limitWaitMs(endpoint, now) +
          (endpoint.Local ? 0 : RemotePenaltyMs + RemotePenaltyShare * service);
 }
 
@@ -227,6 +228,7 @@
   Entry &entry = Entries[host.str()];
   ++entry.InFlight;
   ++entry.SentSinceReport;
+  ++entry.AllSentSinceReport;
 }
 
 void EndpointStats::recordDone(const HostID &host) {
@@ -255,6 +257,7 @@
   entry.Report = report;
   entry.ReportedAt = now;
   entry.SentSinceReport = 0;
+  entry.AllSentSinceReport = 0;
 }
 
 void EndpointStats::recordSeen(const Endpoint &endpoint, TimeMs now) {
@@ -294,7 +297,27 @@
 }
 
 bool EndpointStats::hasFreeSlot(const Endpoint &endpoint, TimeMs now) const {
-  return occupancy(endpoint.Host, now) < endpoint.Slots;
+  return occupancy(endpoint.Host, now) < endpoint.Slots && limitWaitMs(endpoint, now) == 0;
+}
+
+double EndpointStats::limitOf(const Endpoint &endpoint) const {
+  const auto it = Entries.find(endpoint.Host.str());
+  if (it == Entries.end() || it->second.Report.LimitProcess != endpoint.InstanceID)
+    return 0;
+  return it->second.Report.LimitPerSecond;
+}
+
+double EndpointStats::limitWaitMs(const Endpoint &endpoint, TimeMs now) const {
+  const double limit = limitOf(endpoint);
+  if (limit == 0)
+    return 0;
+  const Entry &entry = Entries.at(endpoint.Host.str());
+  const double age =
+      now > entry.ReportedAt ? static_cast<double>(now - entry.ReportedAt) / MsPerSecond : 0;
+  const double available =
+      entry.Report.LimitAvailable + age * limit - static_cast<double>(entry.AllSentSinceReport);
+  const double missing = 1 + entry.Report.Queued - available;
+  return std::max(0.0, missing) / limit * MsPerSecond;
 }
 
 std::uint32_t EndpointStats::meanServiceMs(const HostID &host) const {
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -26,6 +26,9 @@
   std::uint32_t Queued = 0;
   std::uint32_t ServiceMs = 0;       ///< Moving average of the service time.
   std::uint32_t FailurePerMille = 0; ///< Recent requests that it failed or rejected.
+  double LimitPerSecond = 0;         ///< Requests per second that the upstream takes; 0: no limit.
+  double LimitAvailable = 0;         ///< Requests that may start within the limit.
+  std::string LimitProcess{};        ///< Process that named the limit.
   auto operator<=>(const LoadReport &) const = default;
 };
 
@@ -45,6 +48,11 @@
 
   /// @returns whether the upstream is expected to have a free slot.
   bool hasFreeSlot(const Endpoint &endpoint, TimeMs now) const;
+  /// @returns the expected wait for the limit of the endpoint's upstream, ms.
+  double limitWaitMs(const Endpoint &endpoint, TimeMs now) const;
+  /// @returns the limit that the endpoint's upstream named last, to be passed on to its gate; 0:
+  /// none.
+  double limitOf(const Endpoint &endpoint) const;
   std::uint32_t inFlight(const HostID &host) const;
   bool ejected(const HostID &host, TimeMs now) const;
   /// @returns estimated requests of all nodes that run or wait at the host.
@@ -67,7 +75,8 @@
     TimeMs EjectedUntil = 0;
     LoadReport Report;
     TimeMs ReportedAt = 0;
-    std::uint32_t SentSinceReport = 0; ///< Requests sent by this node since the report.
+    std::uint32_t SentSinceReport = 0; ///< Requests sent since the report that have not ended.
+    std::uint32_t AllSentSinceReport = 0;
     std::string InstanceID;
     TimeMs FirstSeenAt = 0;
   };
--- a/src/traffic/response_check.cpp
+++ b/src/traffic/response_check.cpp
@@ -1,6 +1,12 @@
 /// @file response_check.cpp Checks that a response belongs to its request and that the request ran.
 #include "traffic/response_check.h"
 
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <cmath>
+
 namespace jasmineloom {
 
 namespace {
@@ -8,6 +14,8 @@
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 constexpr int StatusMisdirected = 421;
+/// Longest text of a limit that is read as a number.
+constexpr std::size_t MaxLimitLength = 32;
 
 const std::string *find(const HttpResult &result, const std::string &name) {
   return name.empty() ? nullptr : findHeader(result.Headers, name);
@@ -32,4 +40,29 @@
   return success && !authentic ? ResponseKind::Invalid : ResponseKind::Valid;
 }
 
+LimitStatement limitStatementOf(const HttpHeaderNames &headerNames, const HttpResult &result,
+                                ResponseKind kind) {
+  if (headerNames.Limit.empty() || kind == ResponseKind::Invalid)
+    return NoLimitStatement{};
+  const auto fields = std::count_if(result.Headers.begin(), result.Headers.end(),
+                                    [&headerNames](const HeaderField &field) {
+                                      return absl::EqualsIgnoreCase(field.Name, headerNames.Limit);
+                                    });
+  if (fields == 0) {
+    const bool signedByUpstream =
+        headerNames.Signature.empty() || find(result, headerNames.Signature) != nullptr;
+    if (kind == ResponseKind::Valid && signedByUpstream)
+      return LimitLifted{};
+    return NoLimitStatement{};
+  }
+  const std::string &text = *find(result, headerNames.Limit);
+  double perSecond = 0;
+  const bool valid = fields == 1 && text.size() <= MaxLimitLength &&
+                     absl::SimpleAtod(text, &perSecond) && std::isfinite(perSecond) &&
+                     perSecond >= 0 && !std::signbit(perSecond);
+  if (!valid)
+    return NoLimitStatement{};
+  return LimitNamed{perSecond};
+}
+
 } // namespace jasmineloom
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -287,7 +287,8 @@
 
 void TrafficTask::applyAnnouncement() {
   const Announcement &current = *AnnouncedUpstream.current();
-  const LocalUpstream upstream{current.Service, current.Version, current.Slots, current.ID.str()};
+  const LocalUpstream upstream{current.Service, current.Version, current.Slots, current.ID.str(),
+                               current.ProcessStart};
   const bool draining = !AnnouncedUpstream.acceptsWork() || GateClosed;
   LocalGate->setUpstream(upstream, current.Address, draining, current.WarmUpLeft);
   Control.put(UpstreamAnnounced{upstream, draining});
--- a/standins/upstream_standin.cpp
+++ b/standins/upstream_standin.cpp
@@ -196,7 +196,8 @@
       evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", "0");
       const std::string path = "/announce?service=" + Values.text("service") +
                                "&version=" + Values.text("serves-version") +
-                               "&slots=" + std::to_string(Slots) +
+                               "&slots=" + std::to_string(Slots) + "&id=upstream-" +
+                               Values.text("port") + "&born=" + std::to_string(StartTime) +
                                "&address=" + Values.text("address") + ":" + Values.text("port") +
                                (Draining ? "&draining=1" : "");
       evhttp_make_request(NodeConnection, request, EVHTTP_REQ_POST, path.c_str());
--- a/tools/check-words.sh
+++ b/tools/check-words.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Fails if platform-specific names (headers, keys, calls, fields) occur outside platform/.
 set -eu
-WORDS='(^|[^-])Request-Id|Deadline-Remaining|Server-Signature|Expected-Instance|Not-Executed|Caller-Service'
+WORDS='(^|[^-])Request-Id|Deadline-Remaining|Server-Signature|Expected-Instance|Not-Executed|Caller-Service|Server-Limit|Server-Leaving'
 WORDS="$WORDS|op/config|op/rollout|status/rollout|kv-txn|kv-watch|kv-range|kv-lease|/instances/"
 WORDS="$WORDS|target_version|cold_remaining_ms|rolled_back|target_latency_ms|sidecar"
 if grep -rniE "$WORDS" src schema/jasmineloom.capnp tools/*.cpp standins; then
