Show a limit that a gate adopted from other nodes

Operators saw no limit in the metrics and the time line of a gate that had started again and kept to an adopted limit: only a limit that its own upstream's responses changed was recorded.

--- a/src/traffic/gate_base.cpp
+++ b/src/traffic/gate_base.cpp
@@ -92,10 +92,11 @@
   return Limit.perSecond() != before;
 }
 
-void Gate::adoptLimit(double perSecond, const std::string &process, TimeMs now) {
+bool Gate::adoptLimit(double perSecond, const std::string &process, TimeMs now) {
   if (LimitStated || Limit.active() || process.empty() || process != processOf(Upstream))
-    return;
+    return false;
   Limit.set(perSecond, now);
+  return true;
 }
 
 Refusal Gate::refusalFor(const GateRequest &request, TimeMs now) const {
--- a/src/traffic/gate_base.h
+++ b/src/traffic/gate_base.h
@@ -130,7 +130,8 @@
   /// Adopts the limit that another node knows of, if the upstream's process has stated nothing
   /// since this gate started.
   /// @param process process that named the limit; see processOf().
-  void adoptLimit(double perSecond, const std::string &process, TimeMs now);
+  /// @returns whether it was adopted.
+  bool adoptLimit(double perSecond, const std::string &process, TimeMs now);
   const RequestLimit &limit() const { return Limit; }
 
   /// Decides whether a request runs now, waits in the queue or is refused.
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -203,8 +203,8 @@
   if (findHeader(context.Request.Headers, header::Suspect) != nullptr)
     AdmissionControl.crashes().markSuspect(context.Attributes.Fingerprint, now);
   if (const std::optional<KnownLimit> known = parseKnownLimit(context.Request.Headers);
-      known.has_value())
-    AdmissionControl.adoptLimit(known->PerSecond, known->Process, now);
+      known.has_value() && AdmissionControl.adoptLimit(known->PerSecond, known->Process, now))
+    recordLimitChange();
   Contexts.emplace(context.Request.ID, std::move(owned));
   // Other nodes may route to this host before it has received its configuration.
   if (!View) {
