Give no new work to an upstream whose responses state that it leaves

Callers saw requests sent to an upstream after its responses had stated that it leaves (Server-Leaving, DRAIN) for as long as its heartbeats said that it was ready. Cause: leaving was learned from heartbeats and the store alone. The gate beside the upstream reads it from every response, refuses new and queued requests at once and announces the host as draining; work in flight goes on. Each ingress remembers the process that it was told of, so that a gate that has started again gets nothing from it either. A response that an earlier process sent says nothing about the next one.

--- a/src/environment.h
+++ b/src/environment.h
@@ -25,8 +25,8 @@
   std::string RespondingUpstream; ///< In responses: the upstream that responded.
   std::string NotRun;             ///< In responses: the upstream has not run the request.
   std::string Signature;          ///< Only in complete responses of the upstream itself.
-  std::string
-      Limit{}; ///< In responses: requests per second that the upstream takes from all nodes.
+  std::string Leaving{};          ///< In responses: "1" if the upstream leaves.
+  std::string Limit{};            ///< In responses: requests per second that the upstream takes.
 };
 
 // --- Management calls ---
--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -30,6 +30,10 @@
   known.Sequence = announcement.Sequence;
   known.WarmUpLeft = announcement.WarmUpLeft;
   const bool changed = !Current.has_value() || Withdrawn || TimedOut || known != announcement;
+  // An upstream without an identity may have been replaced while it was silent.
+  const bool sameProcess = Current.has_value() && !TimedOut && announcement.ID == Current->ID &&
+                           announcement.ProcessStart == Current->ProcessStart;
+  Leaving &= sameProcess;
   Current = announcement;
   LastHeartbeatAt = now;
   Withdrawn = false;
@@ -48,6 +52,12 @@
   return true;
 }
 
+bool UpstreamTracker::markLeaving() {
+  const bool accepted = acceptsWork();
+  Leaving = true;
+  return accepted;
+}
+
 bool UpstreamTracker::checkTimeout(TimeMs now) {
   if (!acceptsWork() || now < LastHeartbeatAt + HeartbeatTimeout)
     return false;
@@ -56,7 +66,7 @@
 }
 
 bool UpstreamTracker::acceptsWork() const {
-  return Current.has_value() && !Current->Draining && !Withdrawn && !TimedOut;
+  return Current.has_value() && !Current->Draining && !Withdrawn && !Leaving && !TimedOut;
 }
 
 } // namespace jasmineloom
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -49,6 +49,10 @@
   /// @param unixNow Unix time; a process with the same ID that starts later is accepted.
   /// @returns false if the ID is not that of the current upstream.
   bool withdraw(const UpstreamID &id, TimeMs now, TimeMs unixNow);
+  /// Marks the current upstream as leaving, as its responses state; its heartbeats may go on to say
+  /// that it is ready. Ends with its process.
+  /// @returns whether it accepted new requests until now.
+  bool markLeaving();
   /// Checks the heartbeat timeout.
   /// @returns true once for each timeout.
   bool checkTimeout(TimeMs now);
@@ -75,6 +79,7 @@
   std::map<UpstreamID, Tombstone> Tombstones;
   TimeMs LastHeartbeatAt = 0;
   bool Withdrawn = false;
+  bool Leaving = false; ///< Stated in responses of the current process.
   bool TimedOut = false;
 };
 
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -513,6 +513,11 @@
     return;
   if (AdmissionControl.applyLimit(limitStatementOf(Settings.Http, result, kind), steadyClockMs()))
     recordLimitChange();
+  if (!statesLeaving(Settings.Http, result, kind))
+    return;
+  LeavingProcess = context.Process;
+  if (LeavingHandler)
+    LeavingHandler();
 }
 
 void GateTask::recordLimitChange() {
@@ -529,11 +534,13 @@
 
 HeaderFields GateTask::stateHeaders() const {
   HeaderFields fields = {{header::Load, loadHeaderValue()}};
+  const std::string process = processOf(AdmissionControl.upstream());
+  if (!process.empty() && process == LeavingProcess)
+    fields.push_back({header::Leaving, process});
   const RequestLimit &limit = AdmissionControl.limit();
   if (limit.active())
     fields.push_back({header::Limit, absl::StrFormat("%.3f,%.2f,%s", limit.perSecond(),
-                                                     limit.available(steadyClockMs()),
-                                                     processOf(AdmissionControl.upstream()))});
+                                                     limit.available(steadyClockMs()), process)});
   return fields;
 }
 
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -52,6 +52,8 @@
   /// @returns false if the port can't be bound.
   bool listen();
   void setView(RoutingViewPtr view);
+  /// @param handler invoked when a response states that the upstream leaves.
+  void setLeavingHandler(std::function<void()> handler) { LeavingHandler = std::move(handler); }
   /// Applies the announcement of the local upstream.
   /// @param address IP:port of the upstream.
   /// @param warmUpLeft remaining warm-up time of the upstream.
@@ -130,7 +132,9 @@
   Timer EvidenceTimer;
   Timer CrashCheckTimer;
   std::uint32_t CrashChecks = 0; ///< Since the first of CutFingerprints was recorded.
-  double LoggedLimit = 0;        ///< Limit in the last event of the time line; 0: none.
+  std::function<void()> LeavingHandler;
+  std::string LeavingProcess; ///< Process whose responses stated that it leaves.
+  double LoggedLimit = 0;     ///< Limit in the last event of the time line; 0: none.
   RequestLog Log;
 };
 
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -298,6 +298,8 @@
   EndpointStates.recordDone(context.Host);
   if (const std::optional<LoadReport> load = parseLoadReport(result.Headers); load.has_value())
     EndpointStates.recordLoad(context.Host, *load, now);
+  if (const std::string process = headerValue(result.Headers, header::Leaving); !process.empty())
+    EndpointStates.recordLeaving(context.Host, process);
   const Refusal reason = refusalOf(result);
   const bool unreachable = (!result.Complete && now < context.Deadline) ||
                            reason == Refusal::Transport || reason == Refusal::WrongUpstream ||
@@ -405,7 +407,8 @@
   response.Headers = endToEndFields(std::move(result.Headers));
   std::erase_if(response.Headers, [](const HeaderField &field) {
     return absl::EqualsIgnoreCase(field.Name, header::Load) ||
-           absl::EqualsIgnoreCase(field.Name, header::Limit);
+           absl::EqualsIgnoreCase(field.Name, header::Limit) ||
+           absl::EqualsIgnoreCase(field.Name, header::Leaving);
   });
   response.Headers.push_back({header::Host, context.Host.str()});
   response.Body = std::move(result.Body);
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -91,7 +91,7 @@
     return any;
   for (const std::uint32_t position : pool->All) {
     const Endpoint &endpoint = service.Endpoints[position];
-    if (tried.contains(endpoint.Host))
+    if (tried.contains(endpoint.Host) || stats.leaves(endpoint))
       continue;
     any.push_back(&endpoint);
     if (stats.ejected(endpoint.Host, now))
@@ -131,7 +131,7 @@
     // Swap the drawn one to the front so that it is not drawn again.
     std::swap(positions[n], positions[n + random() % (positions.size() - n)]);
     const Endpoint &endpoint = service.Endpoints[positions[n]];
-    if (tried.contains(endpoint.Host))
+    if (tried.contains(endpoint.Host) || stats.leaves(endpoint))
       continue;
     sample.Any.push_back(&endpoint);
     if (stats.ejected(endpoint.Host, now))
@@ -260,6 +260,16 @@
   entry.AllSentSinceReport = 0;
 }
 
+void EndpointStats::recordLeaving(const HostID &host, const std::string &process) {
+  Entries[host.str()].LeavingProcess = process;
+}
+
+bool EndpointStats::leaves(const Endpoint &endpoint) const {
+  const auto it = Entries.find(endpoint.Host.str());
+  return it != Entries.end() && !endpoint.InstanceID.empty() &&
+         it->second.LeavingProcess == endpoint.InstanceID;
+}
+
 void EndpointStats::recordSeen(const Endpoint &endpoint, TimeMs now) {
   if (FirstViewAt == 0)
     FirstViewAt = now;
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -43,6 +43,10 @@
   void recordReachable(const HostID &host);
   /// Stores the load report of a host's gate.
   void recordLoad(const HostID &host, const LoadReport &report, TimeMs now);
+  /// Records that a process of a host's upstream leaves.
+  void recordLeaving(const HostID &host, const std::string &process);
+  /// @returns whether the endpoint's upstream has stated to this node that it leaves.
+  bool leaves(const Endpoint &endpoint) const;
   /// Records the first sight of an upstream's process and resets the statistics of an earlier one.
   void recordSeen(const Endpoint &endpoint, TimeMs now);
 
@@ -78,6 +82,7 @@
     std::uint32_t SentSinceReport = 0; ///< Requests sent since the report that have not ended.
     std::uint32_t AllSentSinceReport = 0;
     std::string InstanceID;
+    std::string LeavingProcess; ///< Process that has stated that it leaves; empty: none.
     TimeMs FirstSeenAt = 0;
   };
   absl::flat_hash_map<std::string, Entry> Entries;
--- a/src/traffic/response_check.cpp
+++ b/src/traffic/response_check.cpp
@@ -65,4 +65,10 @@
   return LimitNamed{perSecond};
 }
 
+bool statesLeaving(const HttpHeaderNames &headerNames, const HttpResult &result,
+                   ResponseKind kind) {
+  const std::string *leaving = find(result, headerNames.Leaving);
+  return kind != ResponseKind::Invalid && leaving != nullptr && *leaving == "1";
+}
+
 } // namespace jasmineloom
--- a/src/traffic/response_check.h
+++ b/src/traffic/response_check.h
@@ -41,4 +41,8 @@
 LimitStatement limitStatementOf(const HttpHeaderNames &headerNames, const HttpResult &result,
                                 ResponseKind kind);
 
+/// @returns whether a response states that its upstream leaves.
+/// @param kind result of classifyResponse().
+bool statesLeaving(const HttpHeaderNames &headerNames, const HttpResult &result, ResponseKind kind);
+
 } // namespace jasmineloom
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -59,6 +59,7 @@
     static_cast<void>(write(fd, &one, sizeof(one)) > 0);
   });
   LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Stats, Control);
+  LocalGate->setLeavingHandler([this] { handleLeaving(); });
   Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Pool, Stats);
   ManagementServer.reset(evhttp_new(Base.get()));
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
@@ -285,6 +286,14 @@
   return {200, Env.HeartbeatResponse()};
 }
 
+void TrafficTask::handleLeaving() {
+  if (!AnnouncedUpstream.markLeaving())
+    return;
+  Control.put(TrafficTimelineEvent{"host", AnnouncedUpstream.current()->ID.str(),
+                                   "states in its responses that it leaves"});
+  applyAnnouncement();
+}
+
 void TrafficTask::applyAnnouncement() {
   const Announcement &current = *AnnouncedUpstream.current();
   const LocalUpstream upstream{current.Service, current.Version, current.Slots, current.ID.str(),
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -56,6 +56,8 @@
   ManagementResponse handleManagement(const Announcement &announcement);
   ManagementResponse handleManagement(const Withdrawal &withdrawal);
   ManagementResponse handleManagement(const InvalidCall &call);
+  /// The upstream's responses state that it leaves.
+  void handleLeaving();
   void applyAnnouncement();
   bool isUpstreamGone() const;
   void advanceDrain();
--- a/src/traffic/traffic_type.h
+++ b/src/traffic/traffic_type.h
@@ -61,6 +61,7 @@
 /// In responses of a gate: requests per second, requests that may start now, and the upstream's
 /// process; comma-separated. In requests: the limit and the process, as the sender knows them.
 constexpr const char *Limit = "x-jasmine-limit";
+constexpr const char *Leaving = "x-jasmine-leaving"; ///< The upstream's process leaves; its name.
 constexpr const char *Reached = "x-jasmine-reached"; ///< The refused request reached an upstream.
 constexpr const char *RetryAfter = "retry-after";    ///< Seconds, with fractions.
 constexpr const char *Secret = "x-jasmine-secret";   ///< Shared secret on calls between nodes.
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -102,3 +102,16 @@
   BOOST_TEST((tracker.applyHeartbeat(heartbeat("", 0, 0, true), Now) == HeartbeatResult::Changed));
   BOOST_TEST((tracker.applyHeartbeat(heartbeat("", 0, 0), Now) == HeartbeatResult::Changed));
 }
+
+BOOST_AUTO_TEST_CASE(
+    an_upstream_that_leaves_by_its_responses_accepts_no_work_whatever_its_heartbeats) {
+  UpstreamTracker tracker(HeartbeatTimeout);
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+  BOOST_TEST(tracker.markLeaving());
+  BOOST_TEST(!tracker.markLeaving());
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 6), Now + 100);
+  BOOST_TEST(!tracker.acceptsWork());
+  // A later process with the same ID does not leave.
+  tracker.applyHeartbeat(heartbeat("i-1", 20, 1), Now + 200);
+  BOOST_TEST(tracker.acceptsWork());
+}
--- a/tests/limit_test.cpp
+++ b/tests/limit_test.cpp
@@ -177,3 +177,32 @@
   BOOST_TEST(stats.hasFreeSlot(view.Endpoints[0], Now));
   BOOST_TEST(stats.limitOf(view.Endpoints[0]) == 0.0);
 }
+
+BOOST_AUTO_TEST_CASE(only_a_flag_in_the_upstreams_own_response_states_that_it_leaves) {
+  const HttpHeaderNames names = platform::platformEnvironment().Http;
+  const auto leaving = [&names](const HttpResult &result) {
+    return statesLeaving(names, result, classifyResponse(names, result, "r1"));
+  };
+  const HeaderField signature{"Server-Signature", "x"};
+  BOOST_TEST(leaving(responseWith(200, {signature, {"Server-Leaving", "1"}})));
+  BOOST_TEST(leaving(responseWith(500, {signature, {"Server-Leaving", "1"}})));
+  BOOST_TEST(leaving(responseWith(503, {{"Not-Executed", "1"}, {"Server-Leaving", "1"}})));
+  BOOST_TEST(!leaving(responseWith(200, {signature, {"Server-Leaving", "0"}})));
+  BOOST_TEST(!leaving(responseWith(200, {signature})));
+  BOOST_TEST(!leaving(responseWith(200, {{"Server-Leaving", "1"}})));
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_has_stated_that_it_leaves_is_chosen_by_no_later_request) {
+  ServiceView view;
+  view.add({HostID("h0"), "h0", VersionLabel(), 12, true, 0, "i-1@5"});
+  EndpointStats stats;
+  stats.recordSeen(view.Endpoints[0], Now);
+  std::mt19937_64 random(1);
+  BOOST_TEST(chooseEndpoint(view, stats, {}, random, Now) != nullptr);
+  stats.recordLeaving(HostID("h0"), "i-1@5");
+  BOOST_TEST(chooseEndpoint(view, stats, {}, random, Now) == nullptr);
+  BOOST_TEST(chooseEndpointForKey(view, "k", stats, {}, Now) == nullptr);
+  // The next process at this host takes work.
+  view.Endpoints[0].InstanceID = "i-1@6";
+  BOOST_TEST(chooseEndpoint(view, stats, {}, random, Now) != nullptr);
+}
