Refuse odd entries and heartbeats of other writers alone

Other operators saw machines end again and again, or stop following, over one odd entry: very deeply nested, a number too large, a port out of range. Numbers beyond their field's range were cast without a check. Class: input of other writers that is trusted once its type is right.

--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -187,6 +187,10 @@
           return kj::READY_NOW;
         const std::string own = absl::StrCat(RootPrefix, Settings.Identity.DataCentre.str(), "/");
         for (const StoreEntry &entry : response.Entries) {
+          // Another writer may leave any bytes under a key. They name no host to introduce to, and
+          // do not count as a registered root.
+          if (!isSocketAddress(entry.Value))
+            continue;
           found->Addresses.insert(entry.Value);
           found->InOwnDataCentre += absl::StartsWith(entry.Key, own) ? 1 : 0;
         }
--- a/src/environment.cpp
+++ b/src/environment.cpp
@@ -2,6 +2,7 @@
 /// etcd.
 #include "environment.h"
 
+#include "event_util.h"
 #include "traffic/traffic_type.h"
 
 #include <absl/strings/numbers.h>
@@ -35,10 +36,11 @@
   announcement.Address = queryText(query, "address");
   announcement.Draining = queryText(query, "draining") == "1";
   announcement.WarmUpLeft = queryNumber(query, "cold-ms");
-  announcement.Slots = static_cast<std::uint32_t>(queryNumber(query, "slots"));
+  const std::uint64_t slots = queryNumber(query, "slots");
+  announcement.Slots = slots > MaxAnnouncedSlots ? 0 : static_cast<std::uint32_t>(slots);
   evhttp_clear_headers(&query);
   const bool valid = announcement.Slots > 0 && !announcement.Service.empty() &&
-                     !announcement.Version.empty() && !announcement.Address.empty();
+                     !announcement.Version.empty() && isSocketAddress(announcement.Address);
   if (!valid)
     return InvalidCall{400, "service, version, address and slots (at least 1) are needed"};
   return announcement;
--- a/src/event_util.cpp
+++ b/src/event_util.cpp
@@ -16,6 +16,14 @@
   return parsed;
 }
 
+bool isSocketAddress(const std::string &address) {
+  const std::optional<SocketAddress> parsed = socketAddressOf(address);
+  if (!parsed.has_value())
+    return false;
+  // Both address families have their port at the same place.
+  return reinterpret_cast<const sockaddr_in *>(&parsed->Storage)->sin_port != 0;
+}
+
 void setNoDelay(evutil_socket_t fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/event_util.h
+++ b/src/event_util.h
@@ -41,6 +41,8 @@
 /// Parses "IP:port".
 /// @returns nullopt if the text has another form.
 std::optional<SocketAddress> socketAddressOf(const std::string &address);
+/// @returns whether a text is a numeric IP address with a port in range.
+bool isSocketAddress(const std::string &address);
 
 /// Disables Nagle's algorithm on a TCP socket.
 void setNoDelay(evutil_socket_t fd);
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -25,6 +25,9 @@
   auto operator<=>(const Announcement &) const = default;
 };
 
+/// Largest number of slots that an upstream may announce.
+constexpr std::uint64_t MaxAnnouncedSlots = 100000;
+
 /// Effect of a heartbeat.
 enum class HeartbeatResult : std::uint8_t {
   Changed, ///< The state of the upstream changed.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -27,7 +27,9 @@
 class ListingStore {
 public:
   /// @param roots number of roots of the task's data centre in the list; none: nothing is answered.
-  explicit ListingStore(std::optional<int> roots) : Roots(roots), Thread([this] { run(); }) {}
+  /// @param value value of each entry, in Base64; by default 127.0.0.1:1.
+  explicit ListingStore(std::optional<int> roots, std::string value = "MTI3LjAuMC4xOjE=")
+      : Roots(roots), Value(std::move(value)), Thread([this] { run(); }) {}
   ~ListingStore() {
     Inbox.put(Drained{});
     Thread.join();
@@ -55,7 +57,7 @@
       std::string items;
       for (int n = 0; n < *Roots; ++n)
         items += (n == 0 ? "" : ",") + std::string(R"({"key":")") + RootPrefix + "dc/old" +
-                 std::to_string(n) + R"(","value":"MTI3LjAuMC4xOjE="})"; // 127.0.0.1:1
+                 std::to_string(n) + R"(","value":")" + Value + "\"}";
       Inbox.put(StoreReply{call.Number, true, true, 200,
                            R"({"store_revision":1,"has_more":false,"items":[)" + items + "]}"});
     }
@@ -74,6 +76,7 @@
   }
 
   std::optional<int> Roots;
+  std::string Value;
   TrafficMailbox Traffic;
   ControlMailbox Inbox;
   std::thread Thread;
@@ -128,6 +131,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(odd_entries_among_the_registered_roots_are_passed_over) {
+  // "[[[[[[", "1e999", "127.0.0.1:99999" and "localhost:80" in Base64.
+  for (const char *value : {"W1tbW1tb", "MWU5OTk=", "MTI3LjAuMC4xOjk5OTk5", "bG9jYWxob3N0Ojgw"}) {
+    ListingStore store(3, value);
+    BOOST_TEST(countOf(store.callsWithin(ObservedTime), "/kv-lease") == 1, value);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(node_that_finds_only_unresponsive_roots_registers_in_the_end) {
   ListingStore store(6);
   BOOST_TEST(countOf(store.callsWithin(2 * ObservedTime), "/kv-lease") == 1);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "platform_environment.h"
+#include "platform_json.h"
 
 #include "config/config_func.h"
 
@@ -206,3 +207,53 @@
     BOOST_TEST(response.Entries.empty(), it.Name);
   }
 }
+
+BOOST_AUTO_TEST_CASE(an_odd_heartbeat_of_another_writer_is_refused_and_ends_no_process) {
+  const auto isRefused = [](const std::string &body) {
+    const ManagementCall call = readManagement({"PUT", "/instances/i-1", "", body});
+    return std::holds_alternative<InvalidCall>(call);
+  };
+  const auto heartbeat = [](const std::string &address, const std::string &slots,
+                            const std::string &extra) {
+    return R"({"address":")" + address +
+           R"(","information":{"service":"s","version":"v1","slots":)" + slots + extra +
+           R"(},"status":{"state":"ready","sequence":4}})";
+  };
+  BOOST_TEST(!isRefused(heartbeat("10.0.0.9:8080", "9", "")));
+  for (const char *slots : {"1e999", "1e30", "4294967297", "18446744073709551616", "-9", "0"})
+    BOOST_TEST(isRefused(heartbeat("10.0.0.9:8080", slots, "")), slots);
+  for (const char *address : {"10.0.0.9:99999", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9", "host:80",
+                              "10.0.0.9:80:80", "unix:/tmp/x", ":80"})
+    BOOST_TEST(isRefused(heartbeat(address, "9", "")), address);
+  // Copying and destroying such a value recurses.
+  constexpr std::size_t Depth = 300000;
+  BOOST_TEST(isRefused(heartbeat("10.0.0.9:8080", "9",
+                                 R"(,"x":)" + std::string(Depth, '[') + std::string(Depth, ']'))));
+  BOOST_TEST(isRefused(std::string(Depth, '[')));
+}
+
+BOOST_AUTO_TEST_CASE(odd_entries_of_the_operators_prefix_are_refused_alone) {
+  const DocumentFormat format = documentFormat();
+  constexpr std::size_t Depth = 300000;
+  const std::string nested = std::string(Depth, '[') + std::string(Depth, ']');
+  for (const std::string &text :
+       {std::string(R"({"service":"s","target_version":"v2","duration_s":1e999})"),
+        R"({"service":"s","target_version":"v2","duration_s":12,"x":)" + nested + "}"}) {
+    StoreEntry entry;
+    entry.Key = "op/rollout/s";
+    entry.Value = text;
+    BOOST_TEST(!format.Decode(entry).ok());
+  }
+  // A number beyond the range of its field becomes the largest value instead of an undefined one.
+  StoreEntry entry;
+  entry.Key = "op/config";
+  entry.Value =
+      R"({"version":"00000001","services":{"s":{}},"routes":{"r":{"host":"h","prefix":"/",)"
+      R"("kind":"safe","service":"s","timeout_ms":1e300,"attempts":1e12}}})";
+  const absl::StatusOr<DocumentEntry> decoded = format.Decode(entry);
+  BOOST_REQUIRE(decoded.ok());
+  const auto &config = std::get<ConfigDocument>(*decoded);
+  const auto &route = std::get<RouteSpec>(config.Objects.back());
+  BOOST_TEST(route.Attempts == std::numeric_limits<std::uint32_t>::max());
+  BOOST_TEST(route.Deadline == MaxNumber);
+}
