Take late requests of a drain only if they can end in time; answer those that can't

Other operators saw requests that came late in the grace of a planned stop taken, passed on and cut without an answer. Here too: with a stop time of 10 s, a POST sent 4.5 s after SIGTERM to an upstream that works for 5 s ended in an empty reply at 9.3 s. Cause: the ingress took requests for half of the stop time whatever time they may take, and the end of a drain closed their connections. Now: refused at once as not run, 503, with a Retry-After. After the time in which callers that poll readiness move away, a request is taken only if its time limit ends before the process does; what is in flight at the end all the same is answered 502, outcome unknown, instead of cut (new test; without the fix: connection reset without a byte). Ruled out: the gate, which closes at four tenths of the stop time, refuses and never cuts what it queued.

--- a/src/traffic/drain_rule.cpp
+++ b/src/traffic/drain_rule.cpp
@@ -35,4 +35,9 @@
   return step;
 }
 
+bool mayAcceptWhileDraining(DurationMs elapsed, DurationMs stopTime, DurationMs timeout) {
+  const auto end = static_cast<DurationMs>(ForcedFinishShare * static_cast<double>(stopTime));
+  return elapsed < CallersMoveTime || elapsed + timeout <= end;
+}
+
 } // namespace jasmineloom
--- a/src/traffic/drain_rule.h
+++ b/src/traffic/drain_rule.h
@@ -28,4 +28,10 @@
 /// as possible.
 DrainStep decideDrain(const DrainState &state);
 
+/// Decides whether a draining host takes a caller's request. Callers that poll readiness have moved
+/// away after some time; a later request is taken only if it ends before the process does.
+/// @param elapsed since the drain began.
+/// @param timeout time that the request may take.
+bool mayAcceptWhileDraining(DurationMs elapsed, DurationMs stopTime, DurationMs timeout);
+
 } // namespace jasmineloom
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -1,6 +1,8 @@
 /// @file ingress_task.cpp Routes the requests of local callers to gates and reports each outcome.
 #include "traffic/ingress_task.h"
 
+#include "traffic/drain_rule.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -163,6 +165,26 @@
 void IngressTask::stopListening() {
   Closing = true;
   Server.stopListening();
+  endPending();
+}
+
+void IngressTask::endPending() {
+  std::vector<RequestID> pending;
+  for (const auto &[id, context] : Contexts)
+    pending.push_back(id);
+  for (const RequestID id : pending) {
+    RequestContext &context = *Contexts.at(id);
+    if (context.Call != 0) {
+      Pool.cancel(context.Call);
+      context.MayHaveRun = true;
+    }
+    failRequest(context, Refusal::Draining);
+  }
+}
+
+bool IngressTask::mayAccept(DurationMs timeout, TimeMs now) const {
+  return !Closing && (!DrainSince.has_value() ||
+                      mayAcceptWhileDraining(now - *DrainSince, Settings.StopTime, timeout));
 }
 
 RetryBudget &IngressTask::retryBudgetFor(const ServiceName &service) {
@@ -193,14 +215,15 @@
   }
   context.Route = *route;
   context.Service = chooseService(*route, context.RoutingDraw >> SplitDrawShift);
-  if (full || Closing) {
-    refuse(context, Outcome::NotRun, Closing ? Refusal::Draining : Refusal::Overloaded);
-    return;
-  }
   DurationMs timeout = route->Deadline;
   std::uint64_t requestedMs = 0;
   if (absl::SimpleAtoi(headerValue(context.Request.Headers, Settings.Http.Deadline), &requestedMs))
     timeout = std::min<DurationMs>(timeout, requestedMs);
+  const bool draining = !mayAccept(timeout, now);
+  if (full || draining) {
+    refuse(context, Outcome::NotRun, draining ? Refusal::Draining : Refusal::Overloaded);
+    return;
+  }
   context.Deadline = now + timeout;
   if (!route->Idempotent)
     context.Key = headerValue(context.Request.Headers, header::Key);
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -25,9 +25,12 @@
   /// @returns false if the port can't be bound.
   bool listen();
   void setView(RoutingViewPtr view, TimeMs now);
+  /// Refuses requests that may not end before the process does.
+  void beginDrain(TimeMs now) { DrainSince = now; }
   /// Refuses new requests from now on and closes connections after their last response.
   void beginShutdown();
-  /// Accepts no more connections and refuses the requests that were sent already.
+  /// Accepts no more connections, refuses the requests that were sent already, and answers those in
+  /// flight that their outcome is unknown.
   void stopListening();
   /// @returns whether all responses were sent.
   bool hasSentAll() const { return Server.hasSentAll(); }
@@ -41,6 +44,8 @@
 
   void handleRequest(HttpRequest request);
   void handleDisconnect(RequestID id);
+  bool mayAccept(DurationMs timeout, TimeMs now) const;
+  void endPending();
   static PlacementRequest placementOf(const RequestContext &context, TimeMs now);
   void startAttempt(RequestContext &context);
   void countNewVersion(const RequestContext &context, const ServiceView &service,
@@ -69,6 +74,7 @@
   std::mt19937_64 Random;
   RequestLog Log;
   TimeMs LastRequestAt = 0;
+  std::optional<TimeMs> DrainSince;
   bool Closing = false; ///< New requests are refused because the process is shutting down.
   std::map<RequestID, std::unique_ptr<RequestContext>> Contexts;
 };
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -185,6 +185,7 @@
     return;
   Draining = true;
   DrainSince = steadyClockMs();
+  Ingress->beginDrain(DrainSince);
   DrainTimer.start(DrainCheckPeriod);
   if (const auto &upstream = AnnouncedUpstream.current(); upstream.has_value())
     Pool.checkReachable(upstream->Address,
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -80,3 +80,45 @@
     close(fd);
   }
 }
+
+BOOST_AUTO_TEST_CASE(a_request_in_flight_at_the_end_of_a_drain_is_answered_as_unknown) {
+  TrafficMailbox inbox;
+  ControlMailbox control;
+  const Environment environment = nativeEnvironment();
+  TrafficTask task(testSettings(), environment, inbox, control);
+  BOOST_REQUIRE(task.listen());
+  // A gate that accepts connections and never answers.
+  const std::string gateAddress = "127.0.0.1:" + std::to_string(IngressPort + 3);
+  const std::optional<SocketAddress> address = socketAddressOf(gateAddress);
+  const int gate = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(gate, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  BOOST_REQUIRE(bind(gate, address->get(), static_cast<socklen_t>(address->Size)) == 0);
+  BOOST_REQUIRE(::listen(gate, Callers) == 0);
+  auto view = std::make_shared<RoutingView>();
+  RouteSpec route;
+  route.Name = RouteName("r");
+  route.Prefix = "/x";
+  route.Service = ServiceName("s");
+  route.Deadline = 60 * MsPerSecond;
+  view->Routes.emplace("/x", route);
+  view->Services["s"].Name = route.Service;
+  view->Services["s"].add({HostID("h2"), gateAddress, VersionLabel(), 9, true, 0, "i-1"});
+  inbox.put(PublishView{view});
+  std::thread loop([&task] { task.run(); });
+  const int caller = connectToIngress();
+  const std::string request = "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+  BOOST_REQUIRE(::send(caller, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+  // The request is in flight once the gate has its connection.
+  const int connection = accept(gate, nullptr, nullptr);
+  char first = 0;
+  BOOST_REQUIRE(recv(connection, &first, 1, 0) == 1);
+  inbox.put(StopTask{});
+  loop.join();
+  const std::string response = readAll(caller);
+  BOOST_TEST(response.find("HTTP/1.1 502 ") == 0U, response);
+  BOOST_TEST(response.find("unknown: draining") != std::string::npos, response);
+  close(caller);
+  close(connection);
+  close(gate);
+}
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -717,3 +717,14 @@
     BOOST_TEST(static_cast<double>(chain.LastHopAttempts) / Calls < 1.2, "refused " << refused);
   }
 }
+
+BOOST_AUTO_TEST_CASE(a_request_that_comes_late_in_a_drain_is_taken_only_if_it_can_end_in_time) {
+  constexpr DurationMs StopTime = 10000;
+  // Callers have not noticed the drain yet.
+  BOOST_TEST(mayAcceptWhileDraining(0, StopTime, 8000));
+  BOOST_TEST(mayAcceptWhileDraining(2000, StopTime, 8000));
+  BOOST_TEST(!mayAcceptWhileDraining(2500, StopTime, 8000));
+  BOOST_TEST(mayAcceptWhileDraining(2500, StopTime, 6500));
+  BOOST_TEST(!mayAcceptWhileDraining(4500, StopTime, 5000));
+  BOOST_TEST(mayAcceptWhileDraining(4500, StopTime, 4000));
+}
