Show no limit once the process that named it is gone; let the test of limits choose its upstream

Operators saw a limit in the metrics of a gate whose upstream's process had been replaced: a change of the process lifted the limit without recording it. The check fails without the fix. tests/upstream_limits.sh took for granted that placement sends requests to the upstream of node 3; among equal upstreams it may send none (seen once: a limit named again was not in force after 2 s of load, and the first request after Server-Leaving counted as one too many). That upstream is now the fastest, which placement prefers, and the checks wait for the response that states the limit or the leaving; they ask the same afterwards.

--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -143,7 +143,10 @@
     Pool.closeIdle(UpstreamAddress);
   }
   UpstreamAddress = address;
+  const double limit = AdmissionControl.limit().perSecond();
   AdmissionControl.setUpstream(upstream);
+  if (AdmissionControl.limit().perSecond() != limit)
+    recordLimitChange();
   AdmissionControl.setDraining(draining);
   if (draining)
     refuseQueued();
@@ -528,7 +531,7 @@
   LoggedLimit = limit;
   Control.put(TrafficTimelineEvent{
       "limit", AdmissionControl.upstream().Service.str(),
-      limit == 0 ? "lifted by the upstream"
+      limit == 0 ? "no limit any more"
                  : absl::StrCat("the upstream takes ", limit, " requests per second")});
 }
 
--- a/tests/upstream_limits.sh
+++ b/tests/upstream_limits.sh
@@ -25,7 +25,8 @@
   start_node "$n" dc1
   eval "NODE_PID_$n=$NODE_PID"
   SEEDS="127.0.0.1:$(node_port 1 2)"
-  start_upstream "$n" lookups v1 12 --latency 20
+  # The upstream of node 3 is the fastest, so that placement prefers it.
+  start_upstream "$n" lookups v1 12 --latency $((n == 3 ? 5 : 60))
 done
 CTL_NODES="127.0.0.1:$(node_port 1 2)"
 check "all nodes discover each other" eventually ready_nodes 3
@@ -63,9 +64,19 @@
 load 3 4 >/dev/null
 check "the limit ends with the responses that name it" [ "$(limit_at_gate 3)" = 0 ]
 
+standin 3 "set?limit=$LIMIT" >/dev/null
+limit_after_load() { load 1 8 >/dev/null && [ "$(limit_at_gate 3)" = "$1" ]; }
+check "a limit that is named again is in force" eventually limit_after_load $LIMIT
+kill -KILL "$UPSTREAM_PID"
+start_upstream 3 lookups v1 12 --latency 5
+no_limit() { [ "$(limit_at_gate 3)" = 0 ]; }
+check "the limit ends with the process that named it" eventually no_limit
+
 # Its heartbeats go on to say that it is ready.
+check "the next process gets requests" eventually limit_after_load 0
 standin 3 "set?leaving=yes" >/dev/null
-load 2 6 >/dev/null
+drains_after_load() { load 1 6 >/dev/null && ctl status | grep "h3 " | grep -q draining; }
+check "its host counts as draining once a response states it" eventually drains_after_load
 standin 3 count >/dev/null
 load 4 7 >"$OUT/load3.json"
 check "an upstream gets no request after its responses state that it leaves" [ "$(most_arrivals 3)" -eq 0 ]
