Review: order of the cases by gravity, sturdier stand-ins

Numbers by gravity: 1 ROUTE, 2 CONFIG, 3 DRAIN (restart), 4 DRAIN (odd heartbeat), 5 UNASKED. The nodes end with the stand-in that started them.

--- a/review/2/run.sh
+++ b/review/1/run.sh
@@ -6,7 +6,7 @@
 [ -x target/jasmined ] && [ -x target/review/reused_address ] || exit 2
 REVIEW_TMP=$(mktemp -d) || exit 2
 export REVIEW_TMP
-timeout --kill-after=5 110 target/review/reused_address review/2 "${TROUBLE:-1}"
+timeout --kill-after=5 110 target/review/reused_address review/1 "${TROUBLE:-1}"
 status=$?
 rm -rf "$REVIEW_TMP"
 [ "$status" -le 1 ] && exit "$status"
--- a/review/standin/changed_service.cpp
+++ b/review/standin/changed_service.cpp
@@ -38,7 +38,7 @@
   nodes.start(changing);
   nodes.start(other);
   if (!nodes.waitReady(changing) || !nodes.waitReady(other))
-    return CouldNotRun;
+    finish(nodes, CouldNotRun);
   ServerAddress changingAddress(changing.Application, runs, record);
   ServerAddress otherAddress(other.Application, runs, record);
   const auto first = serverOf(changing, "i-desk", "registry-desk");
@@ -78,8 +78,7 @@
     wrong += run.Path.rfind("/agreements/", 0) == 0 && run.CallerService != service ? 1 : 0;
   record.write("UNASKED: " + std::to_string(wrong) + " of " + std::to_string(served) +
                " served requests bore another Caller-Service than " + service);
-  nodes.endAll();
-  _exit(served == 0 ? CouldNotRun : wrong == 0 ? Held : Broken);
+  finish(nodes, served == 0 ? CouldNotRun : wrong == 0 ? Held : Broken);
 }
 
 } // namespace
--- a/review/standin/odd_heartbeat.cpp
+++ b/review/standin/odd_heartbeat.cpp
@@ -8,6 +8,7 @@
 
 constexpr long DrainMs = 2000; // The bound drain_ms.
 constexpr long StableWindowMs = 3000;
+constexpr long RequestPeriodMs = 25; // 40 a second: half of the 82.3 of the site, for two servers of four.
 constexpr long ServesOnMs = 8000; // Leaving servers stay for up to 15 s on the site's days.
 
 std::shared_ptr<Server> serverOf(const Machine &machine, const std::string &id) {
@@ -17,7 +18,7 @@
   server->Port = machine.Application;
   server->Control = machine.Control;
   server->Zone = machine.Zone;
-  server->WorkMs = 100;
+  server->WorkMs = 210;
   return server;
 }
 
@@ -32,13 +33,13 @@
   Runs runs(record);
   Nodes nodes(temporary, storePort, record);
   Machine callers{"sidecar-zagreb-a-1", "zagreb-a", "registry-desk"};
-  Machine leaving{"sidecar-split-b-1", "split-b", "agreements"};
-  Machine staying{"sidecar-rijeka-c-1", "rijeka-c", "agreements"};
+  Machine leaving{"sidecar-zagreb-a-2", "zagreb-a", "agreements"};
+  Machine staying{"sidecar-split-b-1", "split-b", "agreements"};
   for (Machine *it : {&callers, &leaving, &staying})
     nodes.start(*it);
   for (Machine *it : {&callers, &leaving, &staying}) {
     if (!nodes.waitReady(*it))
-      return CouldNotRun;
+      finish(nodes, CouldNotRun);
   }
   ServerAddress leavingAddress(leaving.Application, runs, record);
   ServerAddress stayingAddress(staying.Application, runs, record);
@@ -59,7 +60,7 @@
         served += request(callers, "POST", "/agreements/" + std::to_string(n),
                           "agreement-" + std::to_string(n), 2000, record) == 200;
       });
-      sleepMs(50);
+      sleepMs(RequestPeriodMs);
     }
     for (std::thread &it : open)
       it.join();
@@ -87,9 +88,8 @@
     wrong += run.Server == "i-leaving" && run.At > acknowledgedAt + DrainMs / 1000.0 ? 1 : 0;
   record.write("DRAIN: " + std::to_string(wrong) + " requests reached i-leaving later than " +
                std::to_string(DrainMs) + " ms after the acknowledgement");
-  nodes.endAll();
   const bool acknowledged = answer.has_value() && answer->word(1) == "200";
-  _exit(!acknowledged || served == 0 ? CouldNotRun : wrong == 0 ? Held : Broken);
+  finish(nodes, !acknowledged || served == 0 ? CouldNotRun : wrong == 0 ? Held : Broken);
 }
 
 } // namespace
--- a/review/standin/reused_address.cpp
+++ b/review/standin/reused_address.cpp
@@ -8,7 +8,7 @@
 
 constexpr long WarmUpMs = 5000;
 constexpr long ReuseAfterMs = 2000; // The bound reuse_after_s.
-constexpr long RequestPeriodMs = 50; // 20 a second: a quarter of the site's 82.3, for one server of four.
+constexpr long RequestPeriodMs = 50; // 20 a second: a quarter of the 82.3 of the site, for one server of four.
 constexpr long DeadlineMs = 4000;
 
 int play(const std::string &folder, bool trouble) {
@@ -26,7 +26,7 @@
   nodes.start(desk);
   nodes.start(other);
   if (!nodes.waitReady(desk) || !nodes.waitReady(other))
-    return CouldNotRun;
+    finish(nodes, CouldNotRun);
 
   ServerAddress deskAddress(desk.Application, runs, record);
   ServerAddress otherAddress(other.Application, runs, record);
@@ -67,7 +67,7 @@
   if (answered == 0) {
     sending = false;
     clients.join();
-    return CouldNotRun;
+    finish(nodes, CouldNotRun);
   }
   if (trouble) {
     first->Dark = true;
@@ -97,8 +97,7 @@
   }
   record.write("ROUTE: " + std::to_string(wrong) +
                " requests of the route agreement-register were run by a server of royalties");
-  nodes.endAll();
-  _exit(wrong == 0 ? Held : Broken);
+  finish(nodes, wrong == 0 ? Held : Broken);
 }
 
 } // namespace
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <set>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <vector>
 
@@ -452,6 +453,8 @@
     const std::string log = Folder + "/" + machine.Name + ".log";
     const pid_t process = fork();
     if (process == 0) {
+      // The node ends with this process, also where that one is killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, 1);
       dup2(fd, 2);
@@ -536,4 +539,10 @@
 constexpr int Broken = 1;
 constexpr int CouldNotRun = 2;
 
+/// Ends the nodes and this process, whose other threads still wait for messages.
+[[noreturn]] inline void finish(Nodes &nodes, int result) {
+  nodes.endAll();
+  _exit(result);
+}
+
 } // namespace review
