--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
 # out the disruption. Needs the build of the deploy file and review/build.sh.
+# Writes what was sent, answered and run to record.txt in this folder.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/jasmined ] && [ -x target/review/changed_service ] || exit 2
--- a/review/standin/reused_address.cpp
+++ b/review/standin/reused_address.cpp
@@ -83,6 +83,9 @@
   second->WorkMs = 110;
   if (trouble) {
     record.write("its address goes to server i-royalties");
+    other.Service = second->Service;
+    nodes.writeSettings(other);
+    nodes.signalTo(other, SIGHUP);
     otherAddress.assign(second);
     startBeating(second, record);
   }
