--- a/review/standin/changed_service.cpp
+++ b/review/standin/changed_service.cpp
@@ -37,7 +37,8 @@
   Machine other{"sidecar-split-b-1", "split-b", "agreements"};
   nodes.start(changing);
   nodes.start(other);
-  if (!nodes.waitReady(changing) || !nodes.waitReady(other))
+  Bystanders others(nodes, runs, record, 4);
+  if (!nodes.waitReady(changing) || !nodes.waitReady(other) || !others.begin(nodes, record))
     finish(nodes, CouldNotRun);
   ServerAddress changingAddress(changing.Application, runs, record);
   ServerAddress otherAddress(other.Application, runs, record);
--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -38,15 +38,22 @@
   return address;
 }
 
-/// @returns a port that is free at the moment.
+/// @returns a free port, below those that the kernel gives to outgoing connections and another one at
+/// each call. Processes begin at different ports, so that scripts can run side by side.
 inline std::uint16_t freePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = loopback(0);
-  socklen_t size = sizeof(address);
-  bind(fd, reinterpret_cast<sockaddr *>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  constexpr int First = 20000;
+  constexpr int Count = 12000;
+  constexpr int PortsPerProcess = 64;
+  static int next = getpid() * PortsPerProcess % Count;
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(First + next++ % Count);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = loopback(port);
+    const bool isFree = bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (isFree)
+      return port;
+  }
 }
 
 inline std::string addressOf(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
--- a/review/standin/left_server.cpp
+++ b/review/standin/left_server.cpp
@@ -15,7 +15,7 @@
 std::shared_ptr<Server> serverOf(const Machine &machine, const std::string &id) {
   auto server = std::make_shared<Server>();
   server->ID = id;
-  server->Service = "agreements";
+  server->Service = machine.Service;
   server->Port = machine.Application;
   server->Control = machine.Control;
   server->Zone = machine.Zone;
@@ -38,10 +38,17 @@
   Machine staying{"sidecar-split-b-1", "split-b", "agreements"};
   for (Machine *it : {&callers, &leaving, &staying})
     nodes.start(*it);
+  Bystanders others(nodes, runs, record, 3);
   for (Machine *it : {&callers, &leaving, &staying}) {
     if (!nodes.waitReady(*it))
       finish(nodes, CouldNotRun);
   }
+  if (!others.begin(nodes, record))
+    finish(nodes, CouldNotRun);
+  ServerAddress callersAddress(callers.Application, runs, record);
+  const auto callersServer = serverOf(callers, "i-callers");
+  callersAddress.assign(callersServer);
+  startBeating(callersServer, record);
   ServerAddress leavingAddress(leaving.Application, runs, record);
   ServerAddress stayingAddress(staying.Application, runs, record);
   const auto left = serverOf(leaving, "i-leaving");
@@ -73,10 +80,12 @@
       call(leaving.Control, "DELETE", "/instances/i-leaving", "Host: control\r\n", "", 1000);
   const double acknowledgedAt = secondsSince(record.Start);
   record.write("DELETE of i-leaving -> " + (answer.has_value() ? answer->word(1) : "no answer"));
+  double startedAt = acknowledgedAt;
   if (trouble) {
     nodes.signalTo(leaving, SIGKILL);
     sleepMs(RestartDelayMs);
     nodes.start(leaving);
+    startedAt = secondsSince(record.Start);
     if (!nodes.waitReady(leaving))
       finish(nodes, CouldNotRun);
   }
@@ -87,8 +96,8 @@
   clients.join();
 
   // The restarted node is in touch again after the stable window.
-  const double from =
-      acknowledgedAt + static_cast<double>(RestartDelayMs + StableWindowMs) / 1000 + 0.5;
+  const double from = std::max(acknowledgedAt + DrainMs / 1000.0,
+                               startedAt + (StableWindowMs + 100) / 1000.0);
   int wrong = 0;
   for (const Run &run : runs.all())
     wrong += run.Server == "i-leaving" && run.At > from ? 1 : 0;
--- a/review/standin/odd_heartbeat.cpp
+++ b/review/standin/odd_heartbeat.cpp
@@ -14,7 +14,7 @@
 std::shared_ptr<Server> serverOf(const Machine &machine, const std::string &id) {
   auto server = std::make_shared<Server>();
   server->ID = id;
-  server->Service = "agreements";
+  server->Service = machine.Service;
   server->Port = machine.Application;
   server->Control = machine.Control;
   server->Zone = machine.Zone;
@@ -37,10 +37,17 @@
   Machine staying{"sidecar-split-b-1", "split-b", "agreements"};
   for (Machine *it : {&callers, &leaving, &staying})
     nodes.start(*it);
+  Bystanders others(nodes, runs, record, 3);
   for (Machine *it : {&callers, &leaving, &staying}) {
     if (!nodes.waitReady(*it))
       finish(nodes, CouldNotRun);
   }
+  if (!others.begin(nodes, record))
+    finish(nodes, CouldNotRun);
+  ServerAddress callersAddress(callers.Application, runs, record);
+  const auto callersServer = serverOf(callers, "i-callers");
+  callersAddress.assign(callersServer);
+  startBeating(callersServer, record);
   ServerAddress leavingAddress(leaving.Application, runs, record);
   ServerAddress stayingAddress(staying.Application, runs, record);
   const auto left = serverOf(leaving, "i-leaving");
--- a/review/standin/reused_address.cpp
+++ b/review/standin/reused_address.cpp
@@ -25,7 +25,8 @@
   Machine other{"sidecar-split-b-1", "split-b", "agreements"};
   nodes.start(desk);
   nodes.start(other);
-  if (!nodes.waitReady(desk) || !nodes.waitReady(other))
+  Bystanders others(nodes, runs, record, 4);
+  if (!nodes.waitReady(desk) || !nodes.waitReady(other) || !others.begin(nodes, record))
     finish(nodes, CouldNotRun);
 
   ServerAddress deskAddress(desk.Application, runs, record);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -535,6 +535,48 @@
             {"idle_timeout_ms", 20000}}}};
 }
 
+/// The machines of a deployment that a case doesn't touch, each with its node and server. With them a
+/// case has six machines, so that one server is a sixth of all.
+class Bystanders {
+public:
+  Bystanders(Nodes &nodes, Runs &runs, Record &record, std::size_t count) {
+    const std::vector<Machine> all = {{"sidecar-zagreb-a-11", "zagreb-a", "registry-desk"},
+                                      {"sidecar-split-b-11", "split-b", "royalties"},
+                                      {"sidecar-rijeka-c-11", "rijeka-c", "registry-desk"},
+                                      {"sidecar-rijeka-c-12", "rijeka-c", "royalties"}};
+    for (std::size_t n = 0; n < count; ++n) {
+      Machines.push_back(all[n]);
+      Machine &machine = Machines.back();
+      nodes.start(machine);
+      auto server = std::make_shared<Server>();
+      server->ID = "i-" + machine.Name;
+      server->Service = machine.Service;
+      server->Port = machine.Application;
+      server->Control = machine.Control;
+      server->Zone = machine.Zone;
+      Servers.push_back(server);
+      Addresses.push_back(std::make_unique<ServerAddress>(machine.Application, runs, record));
+      Addresses.back()->assign(server);
+    }
+  }
+
+  /// @returns false if a node isn't ready in time.
+  bool begin(Nodes &nodes, Record &record) {
+    for (const Machine &it : Machines) {
+      if (!nodes.waitReady(it))
+        return false;
+    }
+    for (const auto &it : Servers)
+      startBeating(it, record);
+    return true;
+  }
+
+private:
+  std::list<Machine> Machines;
+  std::vector<std::shared_ptr<Server>> Servers;
+  std::vector<std::unique_ptr<ServerAddress>> Addresses;
+};
+
 constexpr int Held = 0;
 constexpr int Broken = 1;
 constexpr int CouldNotRun = 2;
