Check again what a queued request was admitted for when it leaves the queue

Cause: service and version of a request were compared with the upstream's on arrival only. When the silent requests ended and their slots became free, the gate released the waiting ones to whatever upstream was present, and named that upstream in the request.

Evidence: all wrong requests had been sent before the change and named the new server, so neither admission nor an old connection let them through. Ruled out: refusals of new requests, which were right.

Change: each release checks service, version, roll-back and quarantine again; what fails is refused at once as not run and tried elsewhere. Slots, calls, connections, statistics and ejections belong to a process of the upstream and not to its address. It works for every order of events because the decision is made with the state at the time of the release.

Tests: queued_requests_are_not_sent_to_another_service_at_the_address (sockets) failed before with 4 errors: the waiting request was sent to the new server and ended as 502. queued_request_that_the_upstream_may_no_longer_run_leaves_the_queue_ as_not_run, new_process_of_the_upstream_has_all_its_slots and late_failure_of_an_earlier_process_does_not_eject_the_ present_one need the new interface and did not compile before. slots_are_never_exceeded counts requests that leave the queue in the new way as refused: its random crashes quarantine waiting requests, which ran before.

--- a/src/http/http_pool.cpp
+++ b/src/http/http_pool.cpp
@@ -45,6 +45,7 @@
   bool HasEchoed = false;   ///< A response has repeated the EchoedField of its call.
   TimeMs IdleUntil = 0;
   bool Connected = false;
+  bool Retired = false; ///< Not to be used by another call.
 };
 
 struct HttpPool::Call {
@@ -127,11 +128,14 @@
     bufferevent_trigger_event(probe->Socket, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-void HttpPool::closeIdle(const std::string &address) {
+void HttpPool::retireConnections(const std::string &address) {
   std::vector<Connection *> idle;
-  for (const auto &[to, connections] : Idle) {
-    if (address.empty() || to == address)
-      idle.insert(idle.end(), connections.begin(), connections.end());
+  for (const auto &[connection, owned] : Connections) {
+    if (connection->Address != address)
+      continue;
+    connection->Retired = true;
+    if (connection->Current == nullptr)
+      idle.push_back(connection);
   }
   for (Connection *connection : idle)
     closeLater(connection);
@@ -322,7 +326,7 @@
   const bool extra = evbuffer_get_length(bufferevent_get_input(connection->Socket.get())) != 0;
   const bool unsent = evbuffer_get_length(bufferevent_get_output(connection->Socket.get())) != 0;
   connection->Current = nullptr;
-  if (response.KeepAlive && !extra && !unsent) {
+  if (response.KeepAlive && !extra && !unsent && !connection->Retired) {
     connection->IdleUntil = steadyClockMs() + keepAliveTimeout(result.Headers, DefaultIdleTimeout);
     Idle[connection->Address].push_back(connection);
   } else {
@@ -335,7 +339,7 @@
   HttpResult result;
   result.TimedOut = timedOut;
   if (call.Conn != nullptr) {
-    result.BytesSent = call.Conn->BytesOut != call.BytesBefore;
+    result.BytesSent = hasSent(call);
     call.Conn->Current = nullptr;
     closeLater(call.Conn);
   }
@@ -365,6 +369,20 @@
   Calls.erase(it);
 }
 
+void HttpPool::abandon(HttpCallID id) {
+  if (const auto it = Calls.find(id); it != Calls.end())
+    fail(*it->second, false);
+}
+
+bool HttpPool::hasSent(const Call &call) {
+  return call.Conn != nullptr && call.Conn->BytesOut != call.BytesBefore;
+}
+
+bool HttpPool::hasSent(HttpCallID id) const {
+  const auto it = Calls.find(id);
+  return it != Calls.end() && hasSent(*it->second);
+}
+
 void HttpPool::closeLater(Connection *connection) {
   const auto it = Connections.find(connection);
   if (it == Connections.end())
--- a/src/http/http_pool.h
+++ b/src/http/http_pool.h
@@ -70,12 +70,20 @@
   /// @param done invoked once from the event loop with the result.
   void checkReachable(const std::string &address, std::function<void(bool)> done);
 
-  /// Closes the idle connections to \p address, or all idle connections if it is empty.
-  void closeIdle(const std::string &address = {});
+  /// Makes later calls use new connections: closes the idle connections to \p address, and those in
+  /// use once their call has ended.
+  void retireConnections(const std::string &address);
 
   /// Cancels a call: closes its connection and drops its callback. No effect if the call has ended.
   void cancel(HttpCallID id);
 
+  /// Ends a call as if the peer had closed its connection; its callback is invoked. To be called
+  /// from the event loop. No effect if the call has ended.
+  void abandon(HttpCallID id);
+
+  /// @returns whether part of a pending call's request may have reached the peer.
+  bool hasSent(HttpCallID id) const;
+
   /// @returns the number of connections to an address, whether open or connecting.
   std::size_t connections(const std::string &address) const;
 
@@ -90,6 +98,7 @@
   void handleReadResult(Connection &connection, ResponseReadResult result);
   void finish(Call &call, ParsedResponse response);
   void fail(Call &call, bool timedOut);
+  static bool hasSent(const Call &call);
   void end(Call &call, HttpResult result);
   void closeLater(Connection *connection);
   void sweep();
--- a/src/traffic/gate_base.cpp
+++ b/src/traffic/gate_base.cpp
@@ -69,7 +69,13 @@
 void Gate::setUpstream(const LocalUpstream &upstream) {
   if (upstream == Upstream)
     return;
-  if (processOf(upstream) != processOf(Upstream)) {
+  const bool replaced = processOf(upstream) != processOf(Upstream) ||
+                        upstream.Service != Upstream.Service ||
+                        upstream.Version != Upstream.Version;
+  if (replaced) {
+    ++Generation;
+    InFlight = 0;
+    SuspectRunning = 0;
     Limit.lift();
     LimitStated = false;
     MeanServiceMs = 0;
@@ -99,22 +105,27 @@
   return true;
 }
 
-Refusal Gate::refusalFor(const GateRequest &request, TimeMs now) const {
+Refusal Gate::exclusionOf(const GateRequest &request, TimeMs now) const {
   if (Upstream.Slots == 0)
     return Refusal::NoUpstream;
   if (request.Service != Upstream.Service || request.Version != Upstream.Version)
     return Refusal::WrongUpstream;
-  if (Draining)
-    return Refusal::Draining;
   if (TakenBack)
     return Refusal::TakenBack;
-  if (now >= request.Deadline)
-    return Refusal::Deadline;
   if (Crashes.quarantined(request.Fingerprint, now))
     return Refusal::Quarantined;
   return Refusal::None;
 }
 
+Refusal Gate::refusalFor(const GateRequest &request, TimeMs now) const {
+  const Refusal exclusion = exclusionOf(request, now);
+  if (exclusion != Refusal::None)
+    return exclusion;
+  if (Draining)
+    return Refusal::Draining;
+  return now >= request.Deadline ? Refusal::Deadline : Refusal::None;
+}
+
 bool Gate::mayRun(const GateRequest &request, TimeMs now) const {
   if (InFlight >= Upstream.Slots || !Limit.mayStart(now))
     return false;
@@ -258,12 +269,19 @@
 DequeueResult Gate::dequeue(TimeMs now) {
   DequeueResult released;
   for (auto it = Queue.begin(); it != Queue.end();) {
+    // The upstream, its version's state or the known crashes may have changed since the request was
+    // queued.
+    const Refusal exclusion = exclusionOf(*it, now);
     // A request that can no longer finish in time is refused now rather than at its deadline.
-    if (!missesDeadline(*it, 0, now)) {
+    const bool expired = missesDeadline(*it, 0, now);
+    if (exclusion == Refusal::None && !expired) {
       ++it;
       continue;
     }
-    released.Expired.push_back(it->Ticket);
+    if (exclusion != Refusal::None)
+      released.Excluded.push_back({it->Ticket, exclusion});
+    else
+      released.Expired.push_back(it->Ticket);
     it = Queue.erase(it);
   }
   std::vector<QueueRank> waiting = ranks(now);
@@ -280,7 +298,9 @@
   return released;
 }
 
-DequeueResult Gate::finish(TimeMs now, std::uint64_t fingerprint) {
+DequeueResult Gate::finish(TimeMs now, std::uint64_t fingerprint, UpstreamGeneration generation) {
+  if (generation != Generation)
+    return dequeue(now);
   if (InFlight > 0)
     --InFlight;
   if (InFlight == 0 || fingerprint == SuspectRunning)
--- a/src/traffic/gate_base.h
+++ b/src/traffic/gate_base.h
@@ -55,6 +55,10 @@
 /// @returns a name that tells the upstream's process from earlier ones; empty if it has no ID.
 std::string processOf(const LocalUpstream &upstream);
 
+/// Counts the processes that a gate has had as its upstream. A slot belongs to the process that the
+/// request was started for.
+using UpstreamGeneration = std::uint64_t;
+
 /// Decision on a request.
 enum class Admission : std::uint8_t { Run, Queued, Refused };
 
@@ -66,10 +70,18 @@
   bool operator==(const AdmissionResult &) const = default;
 };
 
+/// A queued request that the upstream may no longer run.
+struct ExcludedRequest {
+  GateTicket Ticket = 0;
+  Refusal Reason = Refusal::None;
+  bool operator==(const ExcludedRequest &) const = default;
+};
+
 /// Requests that left the queue.
 struct DequeueResult {
   std::vector<GateTicket> Run;
-  std::vector<GateTicket> Expired; ///< Can no longer finish by their deadline; not run.
+  std::vector<GateTicket> Expired;       ///< Can no longer finish by their deadline; not run.
+  std::vector<ExcludedRequest> Excluded; ///< Must not run here any more; not run.
   bool operator==(const DequeueResult &) const = default;
 };
 
@@ -117,7 +129,9 @@
 /// Admission control for one upstream. Never runs more requests at once than it has slots.
 class Gate {
 public:
-  /// Applies the upstream's announcement. A new process ID resets service times and failures.
+  /// Applies the upstream's announcement. Another process starts with all slots free, whatever runs
+  /// at the earlier one, and without its service times, failures and limit. Queued requests that it
+  /// may not run leave the queue with the next tick().
   void setUpstream(const LocalUpstream &upstream);
   /// While draining, new requests are refused and queued ones still run.
   void setDraining(bool draining) { Draining = draining; }
@@ -139,7 +153,12 @@
 
   /// Frees the slot of a request that ended.
   /// @param fingerprint fingerprint of that request.
-  DequeueResult finish(TimeMs now, std::uint64_t fingerprint = 0);
+  /// @param generation generation() when that request was started.
+  DequeueResult finish(TimeMs now, std::uint64_t fingerprint, UpstreamGeneration generation);
+  /// Frees the slot of a request that was started for the present process.
+  DequeueResult finish(TimeMs now, std::uint64_t fingerprint = 0) {
+    return finish(now, fingerprint, Generation);
+  }
 
   /// Removes a queued request whose caller disconnected.
   void cancelQueued(GateTicket ticket);
@@ -173,9 +192,12 @@
   std::size_t queued() const { return Queue.size(); }
   bool draining() const { return Draining; }
   const LocalUpstream &upstream() const { return Upstream; }
+  UpstreamGeneration generation() const { return Generation; }
   CrashTracker &crashes() { return Crashes; }
 
 private:
+  /// @returns why the upstream may not run a request, whether it is new or waits in the queue.
+  Refusal exclusionOf(const GateRequest &request, TimeMs now) const;
   Refusal refusalFor(const GateRequest &request, TimeMs now) const;
   bool mayRun(const GateRequest &request, TimeMs now) const;
   void start(const GateRequest &request, TimeMs now);
@@ -189,6 +211,7 @@
   DequeueResult dequeue(TimeMs now);
 
   LocalUpstream Upstream;
+  UpstreamGeneration Generation = 0;
   bool Draining = false;
   bool TakenBack = false;
   std::uint32_t InFlight = 0;
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -32,6 +32,8 @@
 /// time in which a process starts again.
 constexpr std::uint32_t MaxCrashChecks = 2;
 constexpr DurationMs CrashCheckDelay = 100;
+/// Time in which responses are read that an upstream had sent before another one replaced it.
+constexpr DurationMs ReplacementGraceTime = 100;
 /// Relative change of a limit from which it is written to the time line again.
 constexpr double LoggedLimitChange = 0.2;
 constexpr std::size_t KeysPerCall = 10000;
@@ -105,7 +107,8 @@
   bool CallerDisconnected = false;
   HttpCallID Call = 0;
   std::uint64_t ForwardedAtUs = 0;
-  std::string Process; ///< Process of the upstream to which the request was sent.
+  UpstreamGeneration Generation = 0; ///< Of the upstream when the request was started.
+  std::string UpstreamAddress;       ///< IP:port that the request was sent to.
 };
 
 GateTask::GateTask(event_base *base, const TrafficSettings &settings, HttpPool &pool,
@@ -118,7 +121,8 @@
           [this](HttpRequest request) { handleRequest(std::move(request)); },
           [this](RequestID id) { handleDisconnect(id); }),
       QueueTimer(base, [this] { tick(); }), EvidenceTimer(base, [this] { sendEvidence(); }),
-      CrashCheckTimer(base, [this] { checkForCrash(); }), Log("gate") {
+      CrashCheckTimer(base, [this] { checkForCrash(); }),
+      ReplacementTimer(base, [this] { endReplacedCalls(false); }), Log("gate") {
   EvidenceTimer.start(EvidencePeriod);
 }
 
@@ -131,6 +135,7 @@
   const ServiceView *service = View->serviceNamed(AdmissionControl.upstream().Service);
   AdmissionControl.setTakenBack(service != nullptr &&
                                 !mayServe(*service, AdmissionControl.upstream().Version));
+  processReleased(AdmissionControl.tick(steadyClockMs()));
 }
 
 void GateTask::setUpstream(const LocalUpstream &upstream, const std::string &address, bool draining,
@@ -139,11 +144,12 @@
   if (replaced) {
     const bool hasID = !upstream.ID.empty();
     WarmAt = steadyClockMs() + (hasID ? warmUpLeft : DefaultWarmUpTime);
-    // Idle connections lead to the previous upstream process, even if they still look open.
-    Pool.closeIdle(UpstreamAddress);
+    // Open connections lead to the previous upstream process, even if they still look open.
+    Pool.retireConnections(UpstreamAddress);
   }
   UpstreamAddress = address;
   const double limit = AdmissionControl.limit().perSecond();
+  const UpstreamGeneration generation = AdmissionControl.generation();
   AdmissionControl.setUpstream(upstream);
   if (AdmissionControl.limit().perSecond() != limit)
     recordLimitChange();
@@ -152,6 +158,26 @@
     refuseQueued();
   if (View)
     setView(View);
+  if (AdmissionControl.generation() != generation) {
+    endReplacedCalls(true);
+    ReplacementTimer.start(ReplacementGraceTime);
+  }
+}
+
+bool GateTask::isForPresentProcess(const RequestContext &context) const {
+  return context.Generation == AdmissionControl.generation();
+}
+
+void GateTask::endReplacedCalls(bool onlyUnsent) {
+  std::vector<HttpCallID> calls;
+  for (const auto &[id, context] : Contexts) {
+    const bool replaced = context->Call != 0 && !isForPresentProcess(*context) &&
+                          context->UpstreamAddress == UpstreamAddress;
+    if (replaced && !(onlyUnsent && Pool.hasSent(context->Call)))
+      calls.push_back(context->Call);
+  }
+  for (const HttpCallID call : calls)
+    Pool.abandon(call);
 }
 
 void GateTask::beginDrain() {
@@ -329,6 +355,7 @@
 
 void GateTask::startRequest(RequestContext &context) {
   context.Running = true;
+  context.Generation = AdmissionControl.generation();
   if (context.Key.empty())
     forward(context);
   else
@@ -443,9 +470,15 @@
     refuse(context, Outcome::NotRun, Refusal::Deadline);
     return;
   }
+  // The upstream may have been replaced while other hosts granted the key.
+  if (!isForPresentProcess(context)) {
+    releaseKey(context);
+    refuse(context, Outcome::NotRun, Refusal::WrongUpstream);
+    return;
+  }
   context.ForwardedAtUs = steadyClockUs();
   context.ReachedUpstream = true;
-  context.Process = processOf(AdmissionControl.upstream());
+  context.UpstreamAddress = UpstreamAddress;
   const RequestID id = context.Request.ID;
   context.Call =
       Pool.call(UpstreamAddress, makeUpstreamCall(context, now),
@@ -479,30 +512,35 @@
       return;
     }
     recordEvidence(context, result);
-    AdmissionControl.recordResult(true);
-    if (!result.TimedOut)
+    recordResult(context, true);
+    const bool cut = !result.TimedOut && isForPresentProcess(context);
+    if (cut)
       handleUpstreamCut(context);
-    refuse(context, Outcome::Unknown, result.TimedOut ? Refusal::Deadline : Refusal::UpstreamCut);
+    refuse(context, Outcome::Unknown,
+           result.TimedOut ? Refusal::Deadline
+           : cut           ? Refusal::UpstreamCut
+                           : Refusal::Transport);
     return;
   }
   const ResponseKind kind = classifyResponse(Settings.Http, result, context.CallerRequestID);
   applyUpstreamState(context, result, kind);
   switch (kind) {
   case ResponseKind::NotRun:
-    AdmissionControl.recordResult(true);
+    recordResult(context, true);
     releaseKey(context);
     refuse(context, Outcome::NotRun, Refusal::NotTaken);
     return;
   case ResponseKind::Invalid:
     recordEvidence(context, result);
-    AdmissionControl.recordResult(true);
+    recordResult(context, true);
     refuse(context, Outcome::Unknown, Refusal::BadAnswer);
     return;
   case ResponseKind::Valid:
     recordEvidence(context, result);
-    AdmissionControl.recordServiceTime(context.Route,
-                                       (steadyClockUs() - context.ForwardedAtUs) / 1000);
-    AdmissionControl.recordResult(result.Status >= FirstServerError);
+    if (isForPresentProcess(context))
+      AdmissionControl.recordServiceTime(context.Route,
+                                         (steadyClockUs() - context.ForwardedAtUs) / 1000);
+    recordResult(context, result.Status >= FirstServerError);
     AdmissionControl.crashes().clear(context.Attributes.Fingerprint);
     respond(context, std::move(result));
     return;
@@ -512,17 +550,22 @@
 void GateTask::applyUpstreamState(const RequestContext &context, const HttpResult &result,
                                   ResponseKind kind) {
   // A late response of an earlier process says nothing about the present one.
-  if (context.Process != processOf(AdmissionControl.upstream()))
+  if (!isForPresentProcess(context))
     return;
   if (AdmissionControl.applyLimit(limitStatementOf(Settings.Http, result, kind), steadyClockMs()))
     recordLimitChange();
   if (!statesLeaving(Settings.Http, result, kind))
     return;
-  LeavingProcess = context.Process;
+  LeavingProcess = processOf(AdmissionControl.upstream());
   if (LeavingHandler)
     LeavingHandler();
 }
 
+void GateTask::recordResult(const RequestContext &context, bool failed) {
+  if (isForPresentProcess(context))
+    AdmissionControl.recordResult(failed);
+}
+
 void GateTask::recordLimitChange() {
   const double limit = AdmissionControl.limit().perSecond();
   Stats.setUpstreamLimit(limit);
@@ -623,12 +666,15 @@
 void GateTask::finishRequest(RequestContext &context) {
   const bool wasRunning = context.Running;
   const std::uint64_t fingerprint = context.Attributes.Fingerprint;
+  const UpstreamGeneration generation = context.Generation;
   Contexts.erase(context.Request.ID);
   if (wasRunning)
-    processReleased(AdmissionControl.finish(steadyClockMs(), fingerprint));
+    processReleased(AdmissionControl.finish(steadyClockMs(), fingerprint, generation));
 }
 
 void GateTask::processReleased(const DequeueResult &released) {
+  for (const ExcludedRequest &it : released.Excluded)
+    refuse(*Contexts.at(it.Ticket), Outcome::NotRun, it.Reason);
   for (const GateTicket ticket : released.Expired)
     refuse(*Contexts.at(ticket), Outcome::NotRun, Refusal::Deadline);
   for (const GateTicket ticket : released.Run) {
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -92,6 +92,11 @@
   HttpCall makeUpstreamCall(RequestContext &context, TimeMs now) const;
   void forward(RequestContext &context);
   void refuseQueued();
+  /// Ends the calls to a process of the upstream that another one has replaced at its address.
+  /// @param onlyUnsent leaves those of which a byte was sent.
+  void endReplacedCalls(bool onlyUnsent);
+  /// @returns whether the request was started for the upstream's present process.
+  bool isForPresentProcess(const RequestContext &context) const;
   void handleUpstreamCut(const RequestContext &context);
   void checkForCrash();
   void reportCrash();
@@ -101,6 +106,8 @@
   /// Applies what a response states of the upstream itself.
   void applyUpstreamState(const RequestContext &context, const HttpResult &result,
                           ResponseKind kind);
+  /// Adds the result of a request to the failure rate of the upstream's process that it was for.
+  void recordResult(const RequestContext &context, bool failed);
   void recordLimitChange();
   HeaderFields stateHeaders() const;
   void recordEvidence(const RequestContext &context, const HttpResult &result);
@@ -131,6 +138,7 @@
   Timer QueueTimer;
   Timer EvidenceTimer;
   Timer CrashCheckTimer;
+  Timer ReplacementTimer;
   std::uint32_t CrashChecks = 0; ///< Since the first of CutFingerprints was recorded.
   std::function<void()> LeavingHandler;
   std::string LeavingProcess; ///< Process whose responses stated that it leaves.
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -124,6 +124,7 @@
   EndpointSearch Search;
   std::uint32_t OverloadRefusals = 0; ///< Refusals because of a gate's queue length.
   HostID Host;
+  std::string UpstreamProcess; ///< At that host, as the routing view had it.
   HttpCallID Call = 0;
   std::uint32_t UpstreamCuts = 0; ///< Attempts that the upstream ended without a complete response.
   bool MayHaveRun = false;        ///< An attempt may have executed the request.
@@ -310,6 +311,7 @@
   countNewVersion(context, *service, *endpoint, now);
   ++context.Attempts;
   context.Host = endpoint->Host;
+  context.UpstreamProcess = endpoint->InstanceID;
   EndpointStates.recordSent(context.Host);
   const RequestID id = context.Request.ID;
   context.Call =
@@ -328,7 +330,7 @@
                            reason == Refusal::Transport || reason == Refusal::WrongUpstream ||
                            reason == Refusal::NoUpstream;
   if (unreachable)
-    EndpointStates.recordUnreachable(context.Host, now);
+    EndpointStates.recordUnreachable(context.Host, context.UpstreamProcess, now);
   else if (result.Complete)
     EndpointStates.recordReachable(context.Host);
 }
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -239,8 +239,10 @@
     --entry.SentSinceReport;
 }
 
-void EndpointStats::recordUnreachable(const HostID &host, TimeMs now) {
+void EndpointStats::recordUnreachable(const HostID &host, const std::string &process, TimeMs now) {
   Entry &entry = Entries[host.str()];
+  if (process != entry.InstanceID)
+    return;
   const std::uint32_t doublings = std::min<std::uint32_t>(entry.Failures, 3);
   entry.EjectedUntil = now + std::min(MaxEjectionTime, MinEjectionTime << doublings);
   ++entry.Failures;
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -39,7 +39,9 @@
   void recordSent(const HostID &host);
   void recordDone(const HostID &host);
   /// Ejects an unreachable host.
-  void recordUnreachable(const HostID &host, TimeMs now);
+  /// @param process upstream process that the request was meant for; no effect if another one has
+  /// been seen at the host since.
+  void recordUnreachable(const HostID &host, const std::string &process, TimeMs now);
   void recordReachable(const HostID &host);
   /// Stores the load report of a host's gate.
   void recordLoad(const HostID &host, const LoadReport &report, TimeMs now);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -125,7 +125,7 @@
     stats.recordSeen(endpoint, Now - 20000);
   // Upstreams in the first view count as started long ago.
   BOOST_TEST(stats.firstSeenAt(HostID("h1")) == 0U);
-  stats.recordUnreachable(HostID("h1"), Now);
+  stats.recordUnreachable(HostID("h1"), view.Endpoints[1].InstanceID, Now);
   BOOST_TEST(stats.ejected(HostID("h1"), Now + 1));
   view.Endpoints[1].InstanceID = "another";
   stats.recordSeen(view.Endpoints[1], Now);
@@ -133,6 +133,20 @@
   BOOST_TEST(!stats.ejected(HostID("h1"), Now + 1));
 }
 
+// Guards against a new process that is avoided because of requests that its predecessor refused.
+BOOST_AUTO_TEST_CASE(late_failure_of_an_earlier_process_does_not_eject_the_present_one) {
+  ServiceView view = threeUpstreams();
+  const std::string earlier = view.Endpoints[1].InstanceID;
+  EndpointStats stats;
+  stats.recordSeen(view.Endpoints[1], Now);
+  view.Endpoints[1].InstanceID = "another";
+  stats.recordSeen(view.Endpoints[1], Now + 1);
+  stats.recordUnreachable(HostID("h1"), earlier, Now + 2);
+  BOOST_TEST(!stats.ejected(HostID("h1"), Now + 3));
+  stats.recordUnreachable(HostID("h1"), "another", Now + 4);
+  BOOST_TEST(stats.ejected(HostID("h1"), Now + 5));
+}
+
 BOOST_AUTO_TEST_CASE(an_ordered_version_never_exceeds_its_share) {
   ServiceView view = threeUpstreams();
   view.Rollout =
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -3,8 +3,11 @@
 #include <boost/test/unit_test.hpp>
 
 #include "event_util.h"
+#include "platform_environment.h"
 #include "traffic/traffic_task.h"
 
+#include <absl/strings/str_cat.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -36,16 +39,79 @@
   return settings;
 }
 
-int connectToIngress() {
+constexpr std::uint16_t GatePort = IngressPort + 1;
+constexpr std::uint16_t ManagementPort = IngressPort + 2;
+constexpr std::uint16_t UpstreamPort = IngressPort + 3;
+
+int connectTo(std::uint16_t port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   const timeval timeout{5, 0};
   setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-  const std::optional<SocketAddress> address =
-      socketAddressOf("127.0.0.1:" + std::to_string(IngressPort));
+  const std::optional<SocketAddress> address = socketAddressOf(absl::StrCat("127.0.0.1:", port));
   BOOST_REQUIRE(connect(fd, address->get(), static_cast<socklen_t>(address->Size)) == 0);
   return fd;
 }
 
+int connectToIngress() { return connectTo(IngressPort); }
+
+int listenOn(std::uint16_t port) {
+  const std::optional<SocketAddress> address = socketAddressOf(absl::StrCat("127.0.0.1:", port));
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  BOOST_REQUIRE(bind(fd, address->get(), static_cast<socklen_t>(address->Size)) == 0);
+  BOOST_REQUIRE(::listen(fd, Callers) == 0);
+  return fd;
+}
+
+void sendText(int fd, const std::string &text) {
+  BOOST_REQUIRE(::send(fd, text.data(), text.size(), MSG_NOSIGNAL) > 0);
+}
+
+/// @returns what is received until the end of a header, or what came until the time limit.
+std::string readHead(int fd) {
+  std::string text;
+  char byte = 0;
+  while (text.find("\r\n\r\n") == std::string::npos && recv(fd, &byte, 1, 0) == 1)
+    text += byte;
+  return text;
+}
+
+/// Sends a heartbeat of an upstream with one slot and reads the response.
+/// @param sequence rises with each heartbeat of a process.
+void sendHeartbeat(const std::string &id, const std::string &service, int born, int sequence = 1,
+                   const std::string &state = "ready") {
+  const std::string body =
+      absl::StrCat(R"({"born":)", born, R"(,"address":"127.0.0.1:)", UpstreamPort,
+                   R"(","information":{"service":")", service,
+                   R"(","version":"v1","zone":"z","slots":1},"status":{"state":")", state,
+                   R"(","sequence":)", sequence, R"(,"cold_remaining_ms":0}})");
+  const int fd = connectTo(ManagementPort);
+  sendText(fd, absl::StrCat("PUT /instances/", id, " HTTP/1.1\r\nHost: x\r\nContent-Length: ",
+                            body.size(), "\r\n\r\n", body));
+  BOOST_TEST(readHead(fd).find("HTTP/1.1 200 ") == 0U);
+  close(fd);
+}
+
+/// Sends a request for a service to the gate, as another node's ingress does.
+/// @param deadline time limit, ms.
+/// @returns the connection.
+int sendToGate(const std::string &path, const std::string &service, DurationMs deadline) {
+  const int fd = connectTo(GatePort);
+  sendText(fd, absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n",
+                            header::Secret, ": a-secret-of-the-test\r\n", header::Service, ": ",
+                            service, "\r\n", header::Version, ": v1\r\n", header::Route, ": r\r\n",
+                            header::MayQueue, ": 1\r\n", header::DeadlineMs, ": ", deadline,
+                            "\r\nRequest-Id: ", path, "\r\n\r\n"));
+  return fd;
+}
+
+/// @returns whether a connection arrives at a listener within a time.
+bool isConnected(int listener, int ms) {
+  pollfd waiting{listener, POLLIN, 0};
+  return poll(&waiting, 1, ms) == 1;
+}
+
 /// @returns what is received until the connection ends.
 std::string readAll(int fd) {
   std::string text;
@@ -88,13 +154,8 @@
   TrafficTask task(testSettings(), environment, inbox, control);
   BOOST_REQUIRE(task.listen());
   // A gate that accepts connections and never answers.
-  const std::string gateAddress = "127.0.0.1:" + std::to_string(IngressPort + 3);
-  const std::optional<SocketAddress> address = socketAddressOf(gateAddress);
-  const int gate = socket(AF_INET, SOCK_STREAM, 0);
-  const int on = 1;
-  setsockopt(gate, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  BOOST_REQUIRE(bind(gate, address->get(), static_cast<socklen_t>(address->Size)) == 0);
-  BOOST_REQUIRE(::listen(gate, Callers) == 0);
+  const std::string gateAddress = absl::StrCat("127.0.0.1:", UpstreamPort);
+  const int gate = listenOn(UpstreamPort);
   auto view = std::make_shared<RoutingView>();
   RouteSpec route;
   route.Name = RouteName("r");
@@ -122,3 +183,45 @@
   close(connection);
   close(gate);
 }
+
+// Guards against requests that wait for one service and are run by another one that has taken over
+// the address of its upstream.
+BOOST_AUTO_TEST_CASE(queued_requests_are_not_sent_to_another_service_at_the_address) {
+  TrafficMailbox inbox;
+  ControlMailbox control;
+  const Environment environment = platform::platformEnvironment();
+  TrafficSettings settings = testSettings();
+  settings.Http = environment.Http;
+  TrafficTask task(settings, environment, inbox, control);
+  BOOST_REQUIRE(task.listen());
+  auto view = std::make_shared<RoutingView>();
+  view->Services["a"].Name = ServiceName("a");
+  view->Services["b"].Name = ServiceName("b");
+  inbox.put(PublishView{view});
+  std::thread loop([&task] { task.run(); });
+  const int upstream = listenOn(UpstreamPort);
+  sendHeartbeat("i-1", "a", 10);
+  const int running = sendToGate("/1", "a", 1500);
+  const int connection = accept(upstream, nullptr, nullptr);
+  BOOST_TEST(readHead(connection).find("POST /1 ") == 0U);
+  // The upstream has one slot and falls silent, so that this request waits, and would get the slot
+  // when the time limit of the first one ends.
+  const int waiting = sendToGate("/2", "a", 4000);
+  usleep(200000);
+  sendHeartbeat("i-2", "b", 20);
+  const std::string refusal = readHead(waiting);
+  BOOST_TEST(refusal.find("HTTP/1.1 503 ") == 0U, refusal);
+  BOOST_TEST(refusal.find("x-jasmine-outcome: not-run") != std::string::npos, refusal);
+  BOOST_TEST(!isConnected(upstream, 300));
+  // The request that the silent process holds ends as unknown, and does not hold a slot.
+  const int next = sendToGate("/3", "b", 4000);
+  BOOST_REQUIRE(isConnected(upstream, 2000));
+  const int second = accept(upstream, nullptr, nullptr);
+  BOOST_TEST(readHead(second).find("POST /3 ") == 0U);
+  const std::string unknown = readHead(running);
+  BOOST_TEST(unknown.find("x-jasmine-outcome: unknown") != std::string::npos, unknown);
+  inbox.put(StopTask{});
+  loop.join();
+  for (const int fd : {running, waiting, next, connection, second, upstream})
+    close(fd);
+}
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -163,6 +163,71 @@
   }
 }
 
+// Guards against queued requests that the upstream runs although it may not run them any more.
+BOOST_AUTO_TEST_CASE(
+    queued_request_that_the_upstream_may_no_longer_run_leaves_the_queue_as_not_run) {
+  struct ExclusionCase {
+    const char *Name;
+    void (*Change)(Gate &);
+    Refusal Expected;
+  };
+  const std::vector<ExclusionCase> cases = {
+      {"another service at the address",
+       [](Gate &gate) {
+         gate.setUpstream({ServiceName("payouts"), VersionLabel("v1"), 1, "i-2", 20});
+       },
+       Refusal::WrongUpstream},
+      {"another version, same ID with a later start",
+       [](Gate &gate) {
+         gate.setUpstream({ServiceName("lookups"), VersionLabel("v2"), 1, "i-1", 20});
+       },
+       Refusal::WrongUpstream},
+      {"another service, draining at first",
+       [](Gate &gate) {
+         gate.setUpstream({ServiceName("payouts"), VersionLabel("v1"), 1, "i-2", 20});
+         gate.setDraining(true);
+       },
+       Refusal::WrongUpstream},
+      {"no upstream", [](Gate &gate) { gate.setUpstream({}); }, Refusal::NoUpstream},
+      {"version rolled back", [](Gate &gate) { gate.setTakenBack(true); }, Refusal::TakenBack},
+      {"quarantined",
+       [](Gate &gate) {
+         gate.crashes().recordCrash(9, Now);
+         gate.crashes().recordCrash(9, Now);
+       },
+       Refusal::Quarantined},
+  };
+  for (const ExclusionCase &it : cases) {
+    Gate gate;
+    gate.setUpstream({ServiceName("lookups"), VersionLabel("v1"), 1, "i-1", 10});
+    BOOST_TEST((gate.admit(request(1), Now).Result == Admission::Run), it.Name);
+    BOOST_TEST((gate.admit(request(2, 1, 9), Now).Result == Admission::Queued), it.Name);
+    it.Change(gate);
+    const DequeueResult released = gate.finish(Now);
+    BOOST_TEST(released.Run.empty(), it.Name);
+    BOOST_TEST((released.Excluded == std::vector<ExcludedRequest>{{2, it.Expected}}), it.Name);
+    BOOST_TEST(gate.queued() == 0U, it.Name);
+  }
+}
+
+// Guards against slots of a new process that stay taken by requests of the earlier one.
+BOOST_AUTO_TEST_CASE(new_process_of_the_upstream_has_all_its_slots) {
+  Gate gate;
+  gate.setUpstream({ServiceName("lookups"), VersionLabel("v1"), 2, "i-1", 10});
+  const UpstreamGeneration first = gate.generation();
+  BOOST_TEST((gate.admit(request(1), Now).Result == Admission::Run));
+  BOOST_TEST((gate.admit(request(2), Now).Result == Admission::Run));
+  BOOST_TEST((gate.admit(request(3), Now).Result == Admission::Queued));
+  // The same service starts again at the address while both requests are without a response.
+  gate.setUpstream({ServiceName("lookups"), VersionLabel("v1"), 2, "i-1", 20});
+  BOOST_TEST((gate.tick(Now).Run == std::vector<GateTicket>{3}));
+  BOOST_TEST((gate.admit(request(4), Now).Result == Admission::Run));
+  // A request of the earlier process that ends frees no slot of the present one.
+  gate.finish(Now, 1, first);
+  BOOST_TEST(gate.inFlight() == 2U);
+  BOOST_TEST((gate.admit(request(5), Now).Result == Admission::Queued));
+}
+
 BOOST_AUTO_TEST_CASE(slots_are_never_exceeded_and_each_request_runs_or_is_refused) {
   for (std::uint32_t seed = 1; seed <= 300; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
@@ -181,6 +246,10 @@
           BOOST_TEST(state[it] == "queued");
           state[it] = "refused";
         }
+        for (const ExcludedRequest &it : dequeued.Excluded) {
+          BOOST_TEST(state[it.Ticket] == "queued");
+          state[it.Ticket] = "refused";
+        }
       };
       for (GateTicket ticket = 1; ticket <= 400; ++ticket) {
         now += random() % 20;
@@ -608,8 +677,8 @@
   const ServiceView view = serviceView(4);
   EndpointStats stats;
   std::mt19937_64 random(2);
-  stats.recordUnreachable(HostID("h0"), Now);
-  stats.recordUnreachable(HostID("h3"), Now);
+  stats.recordUnreachable(HostID("h0"), "", Now);
+  stats.recordUnreachable(HostID("h3"), "", Now);
   for (int n = 0; n < 200; ++n) {
     const std::string host = chooseEndpoint(view, stats, {}, random, Now + 1)->Host.str();
     BOOST_TEST((host == "h1" || host == "h2"));
--- a/tools/load_model.cpp
+++ b/tools/load_model.cpp
@@ -418,7 +418,7 @@
     request->Search.Tried.insert(host);
     if (reason == Refusal::Transport) {
       request->Ingress->Stats.recordDone(host);
-      request->Ingress->Stats.recordUnreachable(host, toMs(Now));
+      request->Ingress->Stats.recordUnreachable(host, {}, toMs(Now));
     }
     if (reason == Refusal::Busy)
       request->Search.Busy.insert(host);
@@ -494,6 +494,8 @@
   }
 
   void release(Host &host, const DequeueResult &released) {
+    for (const ExcludedRequest &it : released.Excluded)
+      refuseAtGate(host, it.Ticket, it.Reason);
     for (const GateTicket ticket : released.Expired)
       refuseAtGate(host, ticket, Refusal::Deadline);
     for (const GateTicket ticket : released.Run)
