Bound the watches of the document by the propagation bound, in turns

Cause: the store was asked to hold a watch for 20 s, and a watch failed only after 21 s without a byte. Each change ends the watches of all nodes at once, so all of them fell into the same silence, and nothing else reads the document.

Evidence: the nodes' apply lines stand together right after the end of the watches; other calls to the store were answered meanwhile. Ruled out: links that do not pass a change on, a store that answers late.

Change: a watch is held for a part of the bound; the watchers of a data centre take turns; after a failure the store must answer a watch that returns at once before it holds another.

--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -12,11 +12,9 @@
 
 namespace {
 
-/// Time for which the store holds a watch without changes; meanwhile idle sockets are probed.
-constexpr DurationMs WatchHold = 20 * MsPerSecond;
 /// Backoff after a failed call to the store: initial, and maximum.
 constexpr DurationMs MinStoreBackoff = 50;
-constexpr DurationMs MaxStoreBackoff = 800;
+constexpr DurationMs MaxStoreBackoff = 400;
 /// Time after which a controller acts on an order even if it could not read the order's stored
 /// status.
 constexpr DurationMs StatusReadTimeout = 1 * MsPerSecond;
@@ -65,6 +63,10 @@
   auto step = DocumentRead.Listed ? watchDocument() : readDocument();
   return step
       .then([this](bool ok) -> kj::Promise<void> {
+        if (ok)
+          DocumentRead.AnsweredAt = steadyClockMs();
+        else
+          Watches.recordFailure();
         DocumentRead.RetryDelay =
             ok ? 0 : std::clamp(DocumentRead.RetryDelay * 2, MinStoreBackoff, MaxStoreBackoff);
         if (ok)
@@ -107,12 +109,14 @@
         if (response.HasMore && !response.Entries.empty())
           return listDocument(response.Entries.back().Key);
         DocumentRead.Listed = true;
+        Watches.recordAnswer(true);
         return true;
       });
 }
 
 kj::Promise<bool> ControlTask::watchDocument() {
-  const StoreWatch watch{Settings.Env.Document->Prefix, DocumentRead.Revision, WatchHold};
+  const StoreWatch watch{Settings.Env.Document->Prefix, DocumentRead.Revision,
+                         Watches.nextHold(watchShare(steadyClockMs()))};
   return Store.send(watch).then([this](StoreResponse response) {
     if (response.Result == StoreResult::Compacted) {
       recordEvent("store", "watch", "history compacted in the store; listing all entries again");
@@ -122,6 +126,7 @@
     if (response.Result != StoreResult::Ok)
       return false;
     DocumentRead.Revision = std::max(DocumentRead.Revision, response.Revision);
+    Watches.recordAnswer(!response.Entries.empty());
     applyEntries(response.Entries);
     return true;
   });
@@ -171,6 +176,31 @@
   return Settings.Env.Document.has_value() && (usesStore(now) || allLinksSilent(now));
 }
 
+WatchShare ControlTask::watchShare(TimeMs now) const {
+  // A node that no link connects to the mesh depends on its own watch alone.
+  if (allLinksSilent(now))
+    return {};
+  const std::size_t roots =
+      rootsOf(Node.hosts().members(Settings.Identity.DataCentre), Settings.Tree).size();
+  return {activeRootsBefore(now), std::clamp<std::size_t>(roots, 1, StoreRoots)};
+}
+
+DurationMs ControlTask::documentAge(TimeMs now) const {
+  const bool known = DocumentRead.AnsweredAt != 0 && readsDocument(now);
+  return known ? now - DocumentRead.AnsweredAt : 0;
+}
+
+void ControlTask::checkDocumentAge(TimeMs now) {
+  const DurationMs age = documentAge(now);
+  const bool overdue = age > Settings.Times.WatchPeriod * StoreRoots + StoreTimeout;
+  if (overdue == DocumentRead.Overdue)
+    return;
+  DocumentRead.Overdue = overdue;
+  recordEvent("store", "document",
+              overdue ? absl::StrCat("no answer to a read or watch for ", age, " ms")
+                      : "read and watched again");
+}
+
 bool ControlTask::isLinkAlive(const HostID &peer, TimeMs now) const {
   const DurationMs timeout = Settings.Times.ExchangeHold + Settings.Times.LinkResponseTimeout;
   const Link *link = Links.contains(peer) ? Node.link(peer) : nullptr;
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -112,13 +112,14 @@
   return now >= StartTime + RootSettlingTime * Settings.Times.BootstrapDelay;
 }
 
-bool ControlTask::usesStore(TimeMs now) const {
-  if (!Position.Root)
-    return false;
-  const auto before =
+std::size_t ControlTask::activeRootsBefore(TimeMs now) const {
+  return static_cast<std::size_t>(
       std::count_if(Position.Parents.begin(), Position.Parents.end(),
-                    [this, now](const HostID &root) { return isLinkAlive(root, now); });
-  return static_cast<std::size_t>(before) < StoreRoots;
+                    [this, now](const HostID &root) { return isLinkAlive(root, now); }));
+}
+
+bool ControlTask::usesStore(TimeMs now) const {
+  return Position.Root && activeRootsBefore(now) < StoreRoots;
 }
 
 kj::Promise<void> ControlTask::registerIfAlone() {
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -44,8 +44,8 @@
       Node(Settings.Identity, steadyClockMs(), Settings.Times.ChildTimeout, Settings.Tree,
            Settings.Times.LinkRetryDelay),
       Store(traffic, Settings.Env.Store), Peers(Io, Settings.Secret, Settings.Identity.Host, Bytes),
-      Random(Settings.RandomSeed), StartTime(steadyClockMs()), Errors(kj::heap<ErrorHandler>()),
-      Tasks(kj::heap<kj::TaskSet>(*Errors)) {
+      Random(Settings.RandomSeed), Watches(Settings.Times.WatchPeriod), StartTime(steadyClockMs()),
+      Errors(kj::heap<ErrorHandler>()), Tasks(kj::heap<kj::TaskSet>(*Errors)) {
   KJ_SYSCALL(pipe(WakePipe));
   WakeStream =
       Io.lowLevelProvider->wrapInputFd(WakePipe[0], kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP);
@@ -344,6 +344,7 @@
     spawn(probeHost(), "audit");
   }
   spawn(storeLoop(), "store");
+  checkDocumentAge(now);
   ControlFigures figures;
   figures.HeldVersion = Node.config().heldVersion();
   figures.KnownVersion = Node.config().knownVersion();
@@ -353,6 +354,7 @@
   figures.Children = Node.childCount();
   figures.Root = Position.Root;
   figures.StoreReachable = Store.reachable();
+  figures.DocumentAge = documentAge(now);
   figures.Transfers = Transfers;
   figures.LinkFailures = LinkFailureCount;
   figures.EvidenceReports = EvidenceReports;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/change_cmd.h"
+#include "control/watch_schedule.h"
 #include "environment.h"
 #include "mesh/mesh_node.h"
 #include "mesh/mesh_timings.h"
@@ -114,6 +115,8 @@
     bool Listed = false;       ///< All entries were listed; changes are watched.
     std::int64_t Revision = 0; ///< Store revision after which the watch continues.
     DurationMs RetryDelay = 0; ///< Backoff before the next call after a failure.
+    TimeMs AnsweredAt = 0;     ///< When the store last answered a read or a watch; 0: never.
+    bool Overdue = false;      ///< The store's answer was overdue at the last check.
     /// Callers that wait for the read of the whole document in progress.
     std::vector<kj::Own<kj::PromiseFulfiller<bool>>> Waiters;
   };
@@ -201,8 +204,16 @@
   bool allLinksSilent(TimeMs now) const;
   /// @returns whether the node has had time to learn of the other hosts since its start.
   bool isSettled(TimeMs now) const;
+  /// @returns the number of roots that rank before this one and respond.
+  std::size_t activeRootsBefore(TimeMs now) const;
   /// @returns whether this host is one of the StoreRoots of its data centre.
   bool usesStore(TimeMs now) const;
+  WatchShare watchShare(TimeMs now) const;
+  /// Logs when the node has not heard from the store about the document for longer than a watch
+  /// may take, and when it hears from it again.
+  void checkDocumentAge(TimeMs now);
+  /// @returns the age of the node's own knowledge of the document, ms; 0 if it does not read it.
+  DurationMs documentAge(TimeMs now) const;
   /// Registers this node if it finds no other node after a random delay and few are registered.
   kj::Promise<void> registerIfAlone();
   kj::Promise<void> registerRoot();
@@ -266,6 +277,7 @@
   /// Those in this data centre by the last list; empty before the first one.
   std::optional<std::size_t> RegisteredRoots;
   DocumentReadState DocumentRead;
+  WatchSchedule Watches;
   std::map<RolloutID, OrderState> Orders;
   TimeMs SuspendedTotal = 0; ///< Boot clock minus steady clock at the last tick.
   TimeMs NextSeeds = 0;
--- a/src/jasminectl.cpp
+++ b/src/jasminectl.cpp
@@ -15,7 +15,9 @@
 
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <random>
+#include <utility>
 
 namespace {
 
@@ -73,6 +75,8 @@
     "6 timeout, 7 outcome unknown (retry with the same --operation-id), 8 no node reachable";
 
 constexpr DurationMs PollPeriod = 100;
+/// Silence of a node after which a poll is repeated over a new connection.
+constexpr DurationMs PollTimeout = 2 * MsPerSecond;
 
 int exitCodeOf(wire::Status status) {
   switch (status) {
@@ -186,6 +190,26 @@
     Io.provider->getTimer().afterDelay(PollPeriod * kj::MILLISECONDS).wait(Io.waitScope);
   }
 
+  /// Sends a request that reads from the node. If the node fails or is silent for PollTimeout, the
+  /// next request goes over a new connection, to any of the nodes.
+  /// @returns the response, or nullopt if there was none.
+  template <typename RequestT> auto poll(RequestT &&request) {
+    auto sent =
+        Io.provider->getTimer().timeoutAfter(PollTimeout * kj::MILLISECONDS, request.send());
+    std::optional<decltype(sent.wait(Io.waitScope))> response;
+    const auto failed = kj::runCatchingExceptions([&] { response = sent.wait(Io.waitScope); });
+    KJ_IF_MAYBE (exception, failed) {
+      std::cerr << "jasminectl: the node does not answer: " << exception->getDescription().cStr()
+                << "\n";
+      const std::shared_ptr<PeerConnection> silent = std::exchange(Node, nullptr);
+      for (const std::string &address : Values.list("node"))
+        Peers.drop(address);
+      if (!connect())
+        Node = silent;
+    }
+    return response;
+  }
+
   int validate() {
     const auto objects = readDeclarationDirectory(argument(1));
     const absl::Status status = objects.ok() ? validateDeclarations(*objects) : objects.status();
@@ -233,22 +257,25 @@
     for (;;) {
       auto request = Node->Operator.inForceRequest();
       request.setVersion(version);
-      const auto response = request.send().wait(Io.waitScope);
-      if (response.getEverywhere()) {
-        std::cout << "version " << version << " is in force on all " << response.getNodes()
+      const auto response = poll(request);
+      if (response.has_value() && response->getEverywhere()) {
+        std::cout << "version " << version << " is in force on all " << response->getNodes()
                   << " nodes (" << wallClockMs() - begin << " ms after it was accepted)\n";
         return ExitOk;
       }
       if (wallClockMs() >= end) {
-        std::cerr << "version " << version << " is not in force everywhere: " << response.getNodes()
-                  << " of " << response.getExpected() << " nodes reported; lagging:";
-        for (auto host : response.getLaggards())
-          std::cerr << " " << host.cStr();
+        std::cerr << "version " << version << " is not in force everywhere";
+        if (response.has_value()) {
+          std::cerr << ": " << response->getNodes() << " of " << response->getExpected()
+                    << " nodes reported; lagging:";
+          for (auto host : response->getLaggards())
+            std::cerr << " " << host.cStr();
+        }
         std::cerr << "\n";
         return ExitTimeout;
       }
-      if (isatty(STDERR_FILENO) != 0)
-        std::cerr << "\r" << response.getNodes() << "/" << response.getExpected() << " nodes ";
+      if (response.has_value() && isatty(STDERR_FILENO) != 0)
+        std::cerr << "\r" << response->getNodes() << "/" << response->getExpected() << " nodes ";
       waitPollPeriod();
     }
   }
@@ -344,8 +371,9 @@
     const TimeMs end = wallClockMs() + static_cast<TimeMs>(Values.number("timeout")) * MsPerSecond;
     std::uint32_t lastStage = ~0U;
     for (;;) {
-      const auto response = Node->Operator.rolloutsRequest().send().wait(Io.waitScope);
-      for (auto it : response.getRollouts()) {
+      const auto response = poll(Node->Operator.rolloutsRequest());
+      for (auto it : response.has_value() ? response->getRollouts()
+                                          : capnp::List<wire::RolloutStatus>::Reader()) {
         if (wireText(it.getRollout().getId()) != id)
           continue;
         const auto progress = it.getProgress();
--- a/src/mesh/mesh_timings.h
+++ b/src/mesh/mesh_timings.h
@@ -22,8 +22,10 @@
   DurationMs ProbePeriod = 1000;         ///< Between probes of hosts that are not children.
   DurationMs ProbeTimeout = 2000;        ///< Timeout of a probe.
   DurationMs HeadPollPeriod = 10000;     ///< Between reads of the head, in addition to the watch.
-  DurationMs FloorTimeout = 3000;        ///< Timeout of a version floor request to a parent.
-  DurationMs BootstrapDelay = 1500;      ///< Delay until a node without peers acts as a root.
+  /// Time in which one of the nodes of a data centre that watch the document starts a new watch.
+  DurationMs WatchPeriod = 9500;
+  DurationMs FloorTimeout = 3000;   ///< Timeout of a version floor request to a parent.
+  DurationMs BootstrapDelay = 1500; ///< Delay until a node without peers acts as a root.
 
   /// @param bound time in which a change must be in force on all nodes.
   static MeshTimings forPropagationBound(DurationMs bound) {
@@ -43,6 +45,7 @@
     times.ProbePeriod = scaled(base.ProbePeriod, 300);
     times.ProbeTimeout = scaled(base.ProbeTimeout, 500);
     times.HeadPollPeriod = scaled(base.HeadPollPeriod, 1000);
+    times.WatchPeriod = scaled(base.WatchPeriod, 500);
     times.FloorTimeout = scaled(base.FloorTimeout, 500);
     times.BootstrapDelay = scaled(base.BootstrapDelay, 300);
     return times;
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -55,6 +55,7 @@
   std::uint32_t Children = 0;
   bool Root = false;
   bool StoreReachable = false;
+  DurationMs DocumentAge = 0; ///< Of this node's own knowledge of the store's document; 0: none.
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
   EvidenceCounters EvidenceReports;
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -81,6 +81,7 @@
   addGauge(out, "children", Control.Children);
   addGauge(out, "root", Control.Root ? 1 : 0);
   addGauge(out, "store_reachable", Control.StoreReachable ? 1 : 0);
+  addGauge(out, "store_document_age_ms", Control.DocumentAge);
   addGauge(out, "config_deltas_sent", Control.Transfers.Deltas);
   addGauge(out, "config_snapshots_sent", Control.Transfers.Snapshots);
   addGauge(out, "config_bytes_sent", Control.Transfers.Bytes);
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -126,6 +126,9 @@
   call.TimeoutOnSilence = true;
   StorePool.call(Settings.StoreAddress, std::move(call),
                  [this, number = message.Number](const HttpResult &result) {
+                   // The other connections may have gone silent with this one.
+                   if (result.TimedOut)
+                     StorePool.retireConnections(Settings.StoreAddress);
                    StoreReply reply;
                    reply.Number = number;
                    reply.Complete = result.Complete;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -22,19 +22,32 @@
 constexpr const char *RpcAddress = "127.0.0.1:27660";
 /// Well above the delay after which a starting node confirms its version floor.
 constexpr DurationMs ObservedTime = 1500;
+/// Time in which a change must be in force on all nodes.
+constexpr DurationMs PropagationBound = 2 * MsPerSecond;
 
 /// Runs a control task against a store that answers only lists of the registered roots, or nothing.
 class ListingStore {
 public:
   /// @param roots number of roots of the task's data centre in the list; none: nothing is answered.
   /// @param value value of each entry, in Base64; by default 127.0.0.1:1.
-  explicit ListingStore(std::optional<int> roots, std::string value = "MTI3LjAuMC4xOjE=")
-      : Roots(roots), Value(std::move(value)), Thread([this] { run(); }) {}
+  /// @param hasDocument whether lists of the operators' document are answered.
+  explicit ListingStore(std::optional<int> roots,
+                        std::string value = "MTI3LjAuMC4xOjE=", bool hasDocument = false)
+      : Roots(roots), Value(std::move(value)), HasDocument(hasDocument), Thread([this] { run(); }) {
+  }
   ~ListingStore() {
     Inbox.put(Drained{});
     Thread.join();
   }
 
+  /// @returns the longest time after which a watch made within a time fails if it is not answered;
+  /// 0: no watch.
+  DurationMs longestWatchWithin(DurationMs time) {
+    LongestWatch = 0;
+    static_cast<void>(callsWithin(time));
+    return LongestWatch;
+  }
+
   /// @returns the paths of the calls made within a time.
   std::vector<std::string> callsWithin(DurationMs time) {
     std::vector<std::string> paths;
@@ -51,8 +64,13 @@
 
 private:
   std::string receive(const StoreCall &call) {
-    const bool isRootList = call.Call.Path.rfind("/kv-range?prefix=op", 0) != 0 &&
-                            call.Call.Path.rfind("/kv-range", 0) == 0;
+    const bool isDocumentList = call.Call.Path.rfind("/kv-range?prefix=op", 0) == 0;
+    const bool isRootList = !isDocumentList && call.Call.Path.rfind("/kv-range", 0) == 0;
+    if (isDocumentList && HasDocument)
+      Inbox.put(StoreReply{call.Number, true, true, 200,
+                           R"({"store_revision":1,"has_more":false,"items":[]})"});
+    if (call.Call.Path.rfind("/kv-watch", 0) == 0)
+      LongestWatch = std::max(LongestWatch, call.Timeout);
     if (isRootList && Roots.has_value()) {
       std::string items;
       for (int n = 0; n < *Roots; ++n)
@@ -69,7 +87,7 @@
     settings.Identity = {HostID("h1"), 1, DataCentreName("dc"), RpcAddress, "127.0.0.1:27661"};
     settings.RpcAddress = RpcAddress;
     settings.Secret = "a-secret-of-the-test";
-    settings.Times = MeshTimings::forPropagationBound(2 * MsPerSecond);
+    settings.Times = MeshTimings::forPropagationBound(PropagationBound);
     settings.Env = platform::platformEnvironment();
     ControlTask control(std::move(settings), Traffic, Inbox);
     static_cast<void>(control.run());
@@ -77,6 +95,8 @@
 
   std::optional<int> Roots;
   std::string Value;
+  bool HasDocument;
+  DurationMs LongestWatch = 0;
   TrafficMailbox Traffic;
   ControlMailbox Inbox;
   std::thread Thread;
@@ -121,6 +141,14 @@
   BOOST_TEST(countOf(paths, "/kv-range?prefix=op") == 1);
 }
 
+// Guards against a node that waits for the end of a watch which the store will never answer.
+BOOST_AUTO_TEST_CASE(unanswered_watch_of_the_document_fails_within_the_propagation_bound) {
+  ListingStore store(0, "MTI3LjAuMC4xOjE=", true);
+  const DurationMs longest = store.longestWatchWithin(2 * ObservedTime);
+  BOOST_TEST(longest > 0U);
+  BOOST_TEST(longest <= PropagationBound);
+}
+
 BOOST_AUTO_TEST_CASE(starting_node_registers_only_if_few_roots_are_registered) {
   for (const int roots : {0, 1, 2, 3, 6}) {
     ListingStore store(roots);
