Name the service that runs on the host now as the caller of its requests

Cause: the service was copied from the settings at the start; a reload only logged it, and the heartbeats, which name it as well, were not used.

Ruled out: a refused file, a header of the caller.

Change: CallerService takes the later of two different statements of settings and heartbeats; a request keeps the service of its arrival. SIGHUP applies all that can be applied, all or none, in one line, and names file and setting of a refused one. It works in either order of reload and heartbeat, also if an old file or a late heartbeat follows, because a repeated statement is no news. Found on the way: the native gate removed the field before it reached an upstream.

--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -9,9 +9,11 @@
 #include "platform_environment.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <csignal>
 #include <iostream>
+#include <set>
 #include <thread>
 
 namespace {
@@ -79,6 +81,19 @@
   return static_cast<DurationMs>(values.number(name));
 }
 
+/// Settings that take effect at SIGHUP; all others need a restart.
+const std::set<std::string> ReloadableSettings = {"log-level", "local-service",
+                                                  "heartbeat-interval", "stop-time", "retry-slack"};
+
+ApplySettings reloadableSettings(const Settings &values) {
+  ApplySettings settings;
+  settings.LocalService = ServiceName(values.text("local-service"));
+  settings.HeartbeatTimeout = MaxMissedHeartbeats * milliseconds(values, "heartbeat-interval");
+  settings.StopTime = milliseconds(values, "stop-time") * MsPerSecond;
+  settings.RetrySlack = static_cast<double>(values.number("retry-slack"));
+  return settings;
+}
+
 TrafficSettings trafficSettings(const Settings &values, std::uint64_t incarnation) {
   TrafficSettings traffic;
   traffic.Host = HostID(values.text("host"));
@@ -97,10 +112,11 @@
   if (traffic.ManagementAddresses.empty())
     traffic.ManagementAddresses = {
         absl::StrCat(traffic.GateIP, ":", values.number("management-port"))};
-  traffic.CallerService = ServiceName(values.text("local-service"));
-  traffic.HeartbeatTimeout = MaxMissedHeartbeats * milliseconds(values, "heartbeat-interval");
-  traffic.StopTime = milliseconds(values, "stop-time") * MsPerSecond;
-  traffic.RetrySlack = static_cast<double>(values.number("retry-slack"));
+  const ApplySettings reloadable = reloadableSettings(values);
+  traffic.LocalService = reloadable.LocalService;
+  traffic.HeartbeatTimeout = reloadable.HeartbeatTimeout;
+  traffic.StopTime = reloadable.StopTime;
+  traffic.RetrySlack = reloadable.RetrySlack;
   traffic.StoreAddress = values.text("store");
   traffic.Secret = values.text("secret");
   traffic.MaxBody = static_cast<std::size_t>(values.number("max-body"));
@@ -129,9 +145,10 @@
   return control;
 }
 
-/// Reloads the settings and applies a changed log level. Other changed settings take effect after a
-/// restart and are logged. If any setting is invalid, none is applied.
-void reloadSettings(const Settings &running, int argc, char **argv) {
+/// Reloads the settings and applies those in ReloadableSettings. Others that have changed take
+/// effect after a restart and are logged. If any setting is invalid, none is applied.
+/// @param applied settings in effect; updated.
+void reloadSettings(Settings &applied, TrafficMailbox &traffic, int argc, char **argv) {
   const log4cxx::LoggerPtr logger = loggerOf("main");
   const absl::StatusOr<ParsedSettings> parsed =
       parseSettings("jasmined", "Node of the jasmineloom mesh", SettingTable, argc, argv);
@@ -143,15 +160,24 @@
   const std::string level = parsed->Values.text("log-level");
   if (absl::Status status = setLogLevel(level); !status.ok())
     LOG4CXX_ERROR(logger, "settings reload: " << std::string(status.message()));
-  std::string needRestart;
+  traffic.put(reloadableSettings(parsed->Values));
+  std::vector<std::string> inEffect;
+  std::vector<std::string> needRestart;
   for (const SettingRow &row : SettingTable) {
-    const bool changed = parsed->Values.text(row.Name) != running.text(row.Name);
-    if (changed && std::string(row.Name) != "log-level")
-      absl::StrAppend(&needRestart, needRestart.empty() ? "" : ", ", row.Name);
+    const std::string &value = parsed->Values.text(row.Name);
+    if (value == applied.text(row.Name))
+      continue;
+    if (!ReloadableSettings.contains(row.Name)) {
+      needRestart.emplace_back(row.Name);
+      continue;
+    }
+    inEffect.push_back(absl::StrCat(row.Name, " = ", value));
+    applied.set(row.Name, value);
   }
-  LOG4CXX_INFO(logger, "settings reloaded, log level "
-                           << level << (needRestart.empty() ? "" : "; effective after a restart: ")
-                           << needRestart);
+  LOG4CXX_INFO(logger, "settings reloaded; in effect: "
+                           << (inEffect.empty() ? "no change" : absl::StrJoin(inEffect, ", "))
+                           << (needRestart.empty() ? "" : "; effective after a restart: ")
+                           << absl::StrJoin(needRestart, ", "));
 }
 
 } // namespace
@@ -188,9 +214,10 @@
   }
   std::thread trafficThread([&traffic] { traffic.run(); });
   std::thread signalThread([&] {
+    Settings applied = values;
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
-      reloadSettings(values, argc, argv);
+      reloadSettings(applied, toTraffic, argc, argv);
     toControl.put(DrainRequested{"signal"});
   });
   ControlSettings controlSetup = controlSettings(values, incarnation);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <optional>
 
 namespace jasmineloom {
 
@@ -83,9 +84,14 @@
     return absl::InvalidArgumentError(
         absl::StrCat("settings file \"", path, "\" cannot be opened"));
   std::map<std::string, std::string> values;
-  const auto parsed = boost::program_options::parse_config_file<char>(
-      file, boost::program_options::options_description(), true);
-  for (const auto &option : parsed.options) {
+  std::optional<boost::program_options::parsed_options> parsed;
+  try {
+    parsed = boost::program_options::parse_config_file<char>(
+        file, boost::program_options::options_description(), true);
+  } catch (const boost::program_options::error &error) {
+    return absl::InvalidArgumentError(absl::StrCat("settings file \"", path, "\": ", error.what()));
+  }
+  for (const auto &option : parsed->options) {
     const bool known = std::any_of(table.begin(), table.end(), [&option](const SettingRow &row) {
       return option.string_key == row.Name;
     });
@@ -190,8 +196,12 @@
         if (variable != nullptr)
           value = variable;
       }
-      if (absl::Status status = check(row, value); !status.ok())
-        return status;
+      if (absl::Status status = check(row, value); !status.ok()) {
+        const bool fromFile = result.count(row.Name) == 0 && variable == nullptr && !path.empty();
+        return fromFile ? absl::InvalidArgumentError(
+                              absl::StrCat("settings file \"", path, "\": ", status.message()))
+                        : status;
+      }
       parsed.Values.set(row.Name, value);
     }
     if (result.count("print-settings") != 0)
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -65,6 +65,13 @@
 /// Ends the task's event loop.
 struct StopTask {};
 
+/// Settings that take effect while the process runs.
+struct ApplySettings {
+  ServiceName LocalService;
+  DurationMs HeartbeatTimeout = 0;
+  DurationMs StopTime = 0;
+  double RetrySlack = 0;
+};
 /// A departure of the local upstream is recorded where it outlives this process.
 struct DepartureRecorded {
   std::uint64_t Number = 0; ///< Of the UpstreamDeparted message.
@@ -76,7 +83,7 @@
 
 using TrafficCommand =
     std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain, ControlFigures, StopTask,
-                 DepartureRecorded, DeparturesRestored>;
+                 ApplySettings, DepartureRecorded, DeparturesRestored>;
 
 // --- To the control task ---
 
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -61,6 +61,7 @@
   /// requests.
   explicit UpstreamTracker(DurationMs heartbeatTimeout) : HeartbeatTimeout(heartbeatTimeout) {}
 
+  void setHeartbeatTimeout(DurationMs timeout) { HeartbeatTimeout = timeout; }
   /// Accepts no work until restore(): this node may have acknowledged departures before a restart.
   void awaitDepartures() { Restored = false; }
   /// Adds departures that were recorded before a restart of this node, or by other nodes.
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -51,11 +51,13 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+/// @param kept name of a field that is forwarded although it has the prefix of internal ones.
 /// @returns the fields to forward: neither hop-by-hop nor internal to the nodes.
-HeaderFields withoutInternalFields(HeaderFields fields) {
+HeaderFields withoutInternalFields(HeaderFields fields, const std::string &kept = {}) {
   fields = endToEndFields(std::move(fields));
-  std::erase_if(fields, [](const HeaderField &field) {
-    return absl::StartsWithIgnoreCase(field.Name, header::Prefix);
+  std::erase_if(fields, [&kept](const HeaderField &field) {
+    return absl::StartsWithIgnoreCase(field.Name, header::Prefix) &&
+           !absl::EqualsIgnoreCase(field.Name, kept);
   });
   return fields;
 }
@@ -492,7 +494,7 @@
   call.Timeout = context.Attributes.Deadline - now;
   call.ConnectTimeout = UpstreamConnectTimeout;
   call.EchoedField = Settings.Http.RequestID;
-  call.Headers = withoutInternalFields(context.Request.Headers);
+  call.Headers = withoutInternalFields(context.Request.Headers, Settings.Http.CallerService);
   if (!Settings.Http.Deadline.empty())
     call.Headers.push_back({Settings.Http.Deadline, absl::StrCat(call.Timeout)});
   if (!Settings.Http.Upstream.empty() && !AdmissionControl.upstream().ID.empty())
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -26,7 +26,7 @@
   std::uint16_t IngressPort = 0;
   std::vector<std::string> ManagementAddresses; ///< IP:port.
   std::string StoreAddress;                     ///< IP:port.
-  ServiceName CallerService;                    ///< Service of the callers on this host.
+  ServiceName LocalService;                     ///< Service on this host, as configured.
   /// Departures of the upstream are recorded by the control task and restored after a start.
   bool RecordsDepartures = false;
   HttpHeaderNames Http;
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -112,6 +112,7 @@
 struct IngressTask::RequestContext {
   HttpRequest Request;
   std::string CallerRequestID; ///< Empty if the caller set none.
+  ServiceName CallerName;      ///< Service on this host when the request arrived.
   RouteSpec Route;
   ServiceName Service;
   std::string Key;
@@ -133,9 +134,9 @@
   std::optional<HttpResult> FallbackResponse; ///< 5xx response to send if no retry is answered.
 };
 
-IngressTask::IngressTask(event_base *base, const TrafficSettings &settings, HttpPool &pool,
-                         Metrics &metrics)
-    : Settings(settings), Pool(pool), Stats(metrics),
+IngressTask::IngressTask(event_base *base, const TrafficSettings &settings,
+                         const CallerService &caller, HttpPool &pool, Metrics &metrics)
+    : Settings(settings), Caller(caller), Pool(pool), Stats(metrics),
       Server(
           base,
           {settings.MaxBody, settings.MaxHeaderBytes, settings.MaxConnections, ListenerReadTimeout},
@@ -149,15 +150,21 @@
 
 void IngressTask::setView(RoutingViewPtr view, TimeMs now) {
   View = std::move(view);
-  MaxRetryTokens = maxRetryTokens(Settings.RetrySlack, View->Hosts.size());
-  for (auto &[service, budget] : Budgets)
-    budget.setMaxTokens(MaxRetryTokens);
+  updateRetryBudgets();
   for (const auto &[name, service] : View->Services) {
     for (const Endpoint &endpoint : service.Endpoints)
       EndpointStates.recordSeen(endpoint, now);
   }
 }
 
+void IngressTask::updateRetryBudgets() {
+  if (!View)
+    return;
+  MaxRetryTokens = maxRetryTokens(Settings.RetrySlack, View->Hosts.size());
+  for (auto &[service, budget] : Budgets)
+    budget.setMaxTokens(MaxRetryTokens);
+}
+
 void IngressTask::beginShutdown() {
   Closing = true;
   Server.closeAfterResponses();
@@ -199,6 +206,7 @@
   RequestContext &context = *owned;
   context.Request = std::move(request);
   context.CallerRequestID = headerValue(context.Request.Headers, Settings.Http.RequestID);
+  context.CallerName = Caller.current();
   context.ArrivedAt = now;
   context.ArrivedAtUs = steadyClockUs();
   context.RoutingDraw = Random();
@@ -257,8 +265,8 @@
   }
   call.Headers.push_back({header::DeadlineMs, absl::StrCat(call.Timeout)});
   call.Headers.push_back({header::Secret, Settings.Secret});
-  if (!Settings.Http.CallerService.empty() && !Settings.CallerService.empty())
-    call.Headers.push_back({Settings.Http.CallerService, Settings.CallerService.str()});
+  if (!Settings.Http.CallerService.empty() && !context.CallerName.empty())
+    call.Headers.push_back({Settings.Http.CallerService, context.CallerName.str()});
   if (!context.Route.Idempotent)
     call.Headers.push_back({header::Once, "1"});
   if (context.UpstreamCuts > 0)
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/http_server.h"
+#include "traffic/caller_service.h"
 #include "traffic/gate_task.h"
 #include "traffic/metrics.h"
 #include "traffic/placement.h"
@@ -17,7 +18,9 @@
 /// Owns the sockets and requests of the ingress. placement.h and retry_rule.h make its decisions.
 class IngressTask {
 public:
-  IngressTask(event_base *base, const TrafficSettings &settings, HttpPool &pool, Metrics &metrics);
+  /// @param caller service that runs on this host.
+  IngressTask(event_base *base, const TrafficSettings &settings, const CallerService &caller,
+              HttpPool &pool, Metrics &metrics);
   ~IngressTask();
   IngressTask(const IngressTask &) = delete;
   IngressTask &operator=(const IngressTask &) = delete;
@@ -25,6 +28,8 @@
   /// @returns false if the port can't be bound.
   bool listen();
   void setView(RoutingViewPtr view, TimeMs now);
+  /// Applies a changed RetrySlack or number of hosts to all retry budgets.
+  void updateRetryBudgets();
   /// Refuses requests that may not end before the process does.
   void beginDrain(TimeMs now) { DrainSince = now; }
   /// Refuses new requests from now on and closes connections after their last response.
@@ -64,6 +69,7 @@
   RetryBudget &retryBudgetFor(const ServiceName &service);
 
   const TrafficSettings &Settings;
+  const CallerService &Caller;
   HttpPool &Pool;
   Metrics &Stats;
   HttpServer Server;
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -44,9 +44,9 @@
 TrafficTask::TrafficTask(TrafficSettings settings, const Environment &environment,
                          TrafficMailbox &inbox, ControlMailbox &control)
     : Settings(std::move(settings)), Env(environment), Inbox(inbox), Control(control),
-      AnnouncedUpstream(Settings.HeartbeatTimeout), Base(makeTrafficBase()),
-      WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), Pool(Base.get(), Settings.MaxBody),
-      StorePool(Base.get(), MaxStoreResponseBytes),
+      AnnouncedUpstream(Settings.HeartbeatTimeout), Caller(Settings.LocalService),
+      Base(makeTrafficBase()), WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      Pool(Base.get(), Settings.MaxBody), StorePool(Base.get(), MaxStoreResponseBytes),
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
       StopTimer(Base.get(), [this] { advanceStop(); }),
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
@@ -66,7 +66,7 @@
   });
   LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Stats, Control);
   LocalGate->setLeavingHandler([this] { handleLeaving(); });
-  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Pool, Stats);
+  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Stats);
   ManagementServer.reset(evhttp_new(Base.get()));
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
                                                          EVHTTP_REQ_POST | EVHTTP_REQ_DELETE |
@@ -303,6 +303,22 @@
     ResponseTimer.start(HeldResponses.front().Due > now ? HeldResponses.front().Due - now : 0);
 }
 
+void TrafficTask::handle(ApplySettings &message) {
+  Settings.HeartbeatTimeout = message.HeartbeatTimeout;
+  Settings.StopTime = message.StopTime;
+  Settings.RetrySlack = message.RetrySlack;
+  AnnouncedUpstream.setHeartbeatTimeout(message.HeartbeatTimeout);
+  Ingress->updateRetryBudgets();
+  if (Caller.applySettings(message.LocalService))
+    recordCallerChange("settings");
+}
+
+void TrafficTask::recordCallerChange(const std::string &source) {
+  Control.put(TrafficTimelineEvent{
+      "host", Settings.Host.str(),
+      absl::StrCat("callers belong to service ", Caller.current().str(), ", by the ", source)});
+}
+
 void TrafficTask::handle(DepartureRecorded &message) {
   for (auto &[process, record] : Departures)
     record.Recorded |= record.Number == message.Number;
@@ -373,6 +389,8 @@
   const Announcement &current = *AnnouncedUpstream.current();
   const LocalUpstream upstream{current.Service, current.Version, current.Slots, current.ID.str(),
                                current.ProcessStart};
+  if (Caller.applyHeartbeat(processOf(upstream), upstream.Service))
+    recordCallerChange("heartbeat");
   const bool draining = !AnnouncedUpstream.acceptsWork() || GateClosed;
   LocalGate->setUpstream(upstream, current.Address, draining, current.WarmUpLeft);
   Control.put(UpstreamAnnounced{upstream, draining});
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -4,6 +4,7 @@
 #include "environment.h"
 #include "stall_watch.h"
 #include "traffic/announcement.h"
+#include "traffic/caller_service.h"
 #include "traffic/gate_task.h"
 #include "traffic/ingress_task.h"
 
@@ -61,6 +62,7 @@
   void handle(BeginDrain &message);
   void handle(ControlFigures &message);
   void handle(StopTask &message);
+  void handle(ApplySettings &message);
   void handle(DepartureRecorded &message);
   void handle(DeparturesRestored &message);
   void handleManagement(evhttp_request *request);
@@ -77,6 +79,7 @@
   /// The upstream's responses state that it leaves.
   void handleLeaving();
   void applyAnnouncement();
+  void recordCallerChange(const std::string &source);
   /// Has a departure recorded.
   /// @returns its number; 0 if it is recorded already, or needs no record.
   std::uint64_t recordDeparture(const UpstreamDeparture &departure);
@@ -97,6 +100,7 @@
   TrafficMailbox &Inbox;
   ControlMailbox &Control;
   UpstreamTracker AnnouncedUpstream;
+  CallerService Caller;
   EventBasePtr Base;
   int WakeFd = -1; ///< Readable when the inbox has messages.
   EventPtr WakeEvent;
--- a/standins/upstream_standin.cpp
+++ b/standins/upstream_standin.cpp
@@ -69,6 +69,9 @@
     if (evhttp_find_header(evhttp_request_get_input_headers(request), "x-crash") != nullptr)
       std::_Exit(9);
     recordArrival(wallClockMs());
+    const char *caller =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "x-jasmine-caller");
+    LastCaller = caller == nullptr ? "" : caller;
     MaxInFlight = std::max(MaxInFlight, ++InFlight);
     if (InFlight > Slots) {
       ++Overruns;
@@ -79,7 +82,7 @@
       ++RunsByKey[key];
     // Each line is one unbuffered write, so the run is logged even if the process is killed next.
     if (key != nullptr && Values.text("log-runs") == "yes")
-      std::cerr << "run " + std::string(key) + "\n";
+      std::cerr << "run " + std::string(key) + " " + Values.text("service") + " " + path + "\n";
     ++RequestCount;
     scheduleReply(request, path);
   }
@@ -170,7 +173,8 @@
       body = "total " + std::to_string(RequestCount) + "\nkeys " +
              std::to_string(RunsByKey.size()) + "\ndoubled " + std::to_string(duplicated) +
              "\nmost-in-flight " + std::to_string(MaxInFlight) + "\noverruns " +
-             std::to_string(Overruns) + "\nmost-in-4s " + std::to_string(MostArrivals) + "\n";
+             std::to_string(Overruns) + "\nmost-in-4s " + std::to_string(MostArrivals) +
+             "\nlast-caller " + LastCaller + "\n";
     }
     if (path == "/standin/keys") {
       body.clear();
@@ -210,6 +214,7 @@
   std::mt19937_64 Random;
   Timer AnnounceTimer;
   TimeMs StartTime;
+  std::string LastCaller; ///< Service named as the caller of the last request.
   evhttp_connection *NodeConnection = nullptr;
   std::list<PendingReply> PendingReplies;
   std::map<std::string, int> RunsByKey;
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -294,3 +294,42 @@
     loop.join();
   }
 }
+
+// Guards against requests that name the service of a server which another one has replaced.
+BOOST_AUTO_TEST_CASE(requests_name_the_service_that_runs_on_the_host_now) {
+  TrafficMailbox inbox;
+  ControlMailbox control;
+  const Environment environment = platform::platformEnvironment();
+  TrafficSettings settings = testSettings();
+  settings.Http = environment.Http;
+  TrafficTask task(settings, environment, inbox, control);
+  BOOST_REQUIRE(task.listen());
+  auto view = std::make_shared<RoutingView>();
+  RouteSpec route;
+  route.Name = RouteName("r");
+  route.Prefix = "/x";
+  route.Service = ServiceName("s");
+  route.Deadline = 60 * MsPerSecond;
+  view->Routes.emplace("/x", route);
+  view->Services["s"].Name = route.Service;
+  view->Services["s"].add(
+      {HostID("h2"), absl::StrCat("127.0.0.1:", UpstreamPort), VersionLabel(), 9, true, 0, "i-1"});
+  inbox.put(PublishView{view});
+  std::thread loop([&task] { task.run(); });
+  const int gate = listenOn(UpstreamPort);
+  int born = 0;
+  for (const std::string service : {"a", "b"}) {
+    sendHeartbeat("i-" + service, service, ++born);
+    const int caller = connectToIngress();
+    sendText(caller, "GET /x HTTP/1.1\r\nHost: x\r\nCaller-Service: forged\r\n\r\n");
+    BOOST_REQUIRE(isConnected(gate, 2000));
+    const int connection = accept(gate, nullptr, nullptr);
+    const std::string head = readHead(connection);
+    BOOST_TEST(head.find("caller-service: " + service + "\r\n") != std::string::npos, head);
+    close(caller);
+    close(connection);
+  }
+  inbox.put(StopTask{});
+  loop.join();
+  close(gate);
+}
--- a/tests/upstream_changes.sh
+++ b/tests/upstream_changes.sh
@@ -25,9 +25,16 @@
   answers -X POST "127.0.0.1:$(node_port "$1" 3)/announce?service=lookups&version=v1&slots=12&id=up$1&born=$3&sequence=$2&address=127.0.0.1:$(node_port "$1" 4)${4:-}"
 }
 
+caller_at() { curl -s "127.0.0.1:$(node_port "$1" 4)/standin/stats" | awk '/^last-caller/ { print $2 }'; }
+names_caller() { # SERVICE: a request that begins at node 2 names this service
+  answers "127.0.0.1:$(node_port 2 0)/lookups/caller" || return 1
+  [ "$(caller_at 1)" = "$1" ] || [ "$(caller_at 3)" = "$1" ]
+}
+
 start_store
+for n in 1 2 3; do echo "local-service = first" >"$OUT/settings$n"; done
 for n in 1 2 3; do
-  start_node "$n" dc1
+  start_node "$n" dc1 --settings-file "$OUT/settings$n"
   eval "NODE_PID_$n=$NODE_PID"
   SEEDS="127.0.0.1:$(node_port 1 2)"
 done
@@ -40,7 +47,7 @@
 # The node is killed as soon as it has acknowledged that its upstream drains.
 check "a drain is acknowledged" announce 2 7 1000 "&draining=1"
 kill -KILL "$NODE_PID_2"
-start_node 2 dc1
+start_node 2 dc1 --settings-file "$OUT/settings2"
 NODE_PID_2=$NODE_PID
 check "the killed node answers again" eventually answers "127.0.0.1:$(node_port 2 3)/readyz"
 check "a late heartbeat is taken" announce 2 6 1000
@@ -52,18 +59,29 @@
 curl -s "127.0.0.1:$STORE_PORT/standin/fault?down=1" >/dev/null
 check "a drain is acknowledged while the store is down" announce 2 7 2000 "&draining=1"
 kill -KILL "$NODE_PID_2"
-start_node 2 dc1
+start_node 2 dc1 --settings-file "$OUT/settings2"
 NODE_PID_2=$NODE_PID
 check "the killed node answers while the store is down" eventually answers "127.0.0.1:$(node_port 2 3)/healthz"
 check "a late heartbeat is taken while the store is down" announce 2 6 2000
 check "an upstream that drained while the store was down stays out" stays_out dc1-h2
 curl -s "127.0.0.1:$STORE_PORT/standin/fault?down=0" >/dev/null
 
+# Another service takes the place of the upstream beside a node that lives on.
+check "requests name the service of the heartbeats" eventually names_caller lookups
+echo "local-service = second" >"$OUT/settings2"
+kill -HUP "$NODE_PID_2"
+check "requests name the service of the reloaded settings" eventually names_caller second
+echo "stop-time = many" >"$OUT/settings2"
+kill -HUP "$NODE_PID_2"
+check "a broken settings file is refused by file and field" eventually grep -q "nothing changed: .*settings2.*stop-time" "$OUT/node2.log"
+check "requests go on to name the service of before" eventually names_caller second
+echo "local-service = second" >"$OUT/settings2"
+
 # A restart alone does not keep a sound upstream out.
 check "an upstream is ready before a restart of its node" eventually announce 2 1 3000
 check "it is in use before the restart" eventually is_ready dc1-h2
 kill -KILL "$NODE_PID_2"
-start_node 2 dc1
+start_node 2 dc1 --settings-file "$OUT/settings2"
 check "the node answers after the restart" eventually answers "127.0.0.1:$(node_port 2 3)/healthz"
 check "its upstream sends the next heartbeat" announce 2 2 3000
 check "a sound upstream is in use after a restart of its node" eventually is_ready dc1-h2
