Let the soak replace upstreams and kill nodes beside upstreams that drain

Two more events: an upstream falls silent, is killed, and another service has its address for a while, with a SIGHUP of the node; a node is killed right after its upstream has drained. The stand-in logs service and path of each run, and the soak checks that no request is run by another service.

--- a/tests/fault_soak.sh
+++ b/tests/fault_soak.sh
@@ -40,8 +40,8 @@
   NODE_STORE=$NET.$1:$STORE_PORT start_node "$1" "dc$((($1 - 1) % 3 + 1))" --advertise "$NET.$1"
   record_pid node "$1" "$NODE_PID"
 }
-run_upstream() {
-  start_upstream "$1" "$(service_of "$1")" v1 12 --log-runs yes --latency 25
+run_upstream() { # N [SERVICE]
+  start_upstream "$1" "${2:-$(service_of "$1")}" v1 12 --log-runs yes --latency 25
   record_pid upstream "$1" "$UPSTREAM_PID"
 }
 kill_all() {
@@ -91,6 +91,21 @@
   sleep 2
   kill_upstream "$1" "$2"
 }
+replace_upstream() { # the upstream falls silent; another service has its address for a while
+  kill -STOP "$(pid_of upstream "$1")"
+  sleep "$2"
+  kill -KILL "$(pid_of upstream "$1")"
+  run_upstream "$1" "$([ "$(service_of "$1")" = lookups ] && echo royalties || echo lookups)"
+  kill -HUP "$(pid_of node "$1")"
+  sleep 1.5
+  kill_upstream "$1" 0.3
+}
+kill_node_in_drain() { # its upstream drains, and the node is killed right after
+  curl -s -m 2 "127.0.0.1:$(node_port "$1" 4)/standin/drain" >/dev/null
+  exclusively node "$1" kill_node "$1" 0.3
+  sleep 1
+  kill_upstream "$1" "$2"
+}
 inject_link_fault() { # NAME MODE PAUSE
   link "$1" "$2" 150
   sleep "$3"
@@ -106,7 +121,7 @@
   timeout 20 "$BIN/jasminectl" --node "$CTL_NODES" apply "$OUT/w$1" "${@:2}" >>"$OUT/changes.txt" 2>&1
 }
 inject() { # STEP: starts a random fault
-  draw 12
+  draw 14
   kind=$R
   draw $HOSTS
   n=$((R + 1))
@@ -127,6 +142,8 @@
   9) exclusively store 0 inject_store_fault down=1 "$pause" down=0 & ;;
   10) exclusively store 0 inject_store_fault 'lose=40&delay=60' "$pause" 'lose=0&delay=0' & ;;
   11) change $((20 + $1)) & ;;
+  12) exclusively upstream $n replace_upstream $n "$pause" & ;;
+  13) exclusively upstream $n kill_node_in_drain $n "$pause" & ;;
   esac
 }
 
@@ -199,6 +216,10 @@
     }'
 }
 check "each request runs at most once and its reported outcome is correct" check_runs
+runs_at_own_service() {
+  cat "$OUT"/upstream*.log | awk '$1 == "run" && index($4, "/" $3) != 1 { print; bad = 1 } END { exit bad }'
+}
+check "no request is run by another service" runs_at_own_service
 for log in "$OUT"/node*.log; do
   check "no older version is applied: $log" versions_rise "$log"
   check "no crash or sanitizer error: $log" [ "$(grep -c 'Sanitizer\|runtime error:\|terminate called\|Assertion' "$log")" = 0 ]
