Name the upstream in requests of the native environment, so that another process can refuse them

What callers saw, in the soak with its new events: after a server of another service had started at the address of an earlier one, requests were run by it until its first heartbeat reached the node.

Cause: the native environment had no header that names the upstream a request is meant for, so a process could not know that it is not the one. On the platform the header exists.

Change: x-upstream-instance carries the ID; the stand-in answers 421 to another one, with an ID of its own at each start.

--- a/src/environment.cpp
+++ b/src/environment.cpp
@@ -67,8 +67,15 @@
 
 Environment nativeEnvironment() {
   Environment environment;
-  environment.Http = {header::DeadlineMs,   "x-request-id",    "x-jasmine-caller", "", "", "", "",
-                      "x-upstream-leaving", "x-upstream-limit"};
+  environment.Http = {header::DeadlineMs,
+                      "x-request-id",
+                      "x-jasmine-caller",
+                      "x-upstream-instance",
+                      "",
+                      "",
+                      "",
+                      "x-upstream-leaving",
+                      "x-upstream-limit"};
   environment.ReadManagement = readNativeManagement;
   environment.HeartbeatResponse = announceResponse;
   environment.Store = etcdGatewayProtocol();
--- a/standins/upstream_standin.cpp
+++ b/standins/upstream_standin.cpp
@@ -46,6 +46,7 @@
      "Print the idempotency key of each request when it starts", "no,yes"},
 };
 
+constexpr int StatusMisdirected = 421;
 constexpr DurationMs AnnouncePeriod = 1 * MsPerSecond;
 constexpr DurationMs ColdStartLatency = 10;
 /// Length of the window in which the most arrivals are counted.
@@ -68,6 +69,12 @@
     }
     if (evhttp_find_header(evhttp_request_get_input_headers(request), "x-crash") != nullptr)
       std::_Exit(9);
+    const char *instance =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "x-upstream-instance");
+    if (instance != nullptr && instance != instanceID()) {
+      evhttp_send_reply(request, StatusMisdirected, "Misdirected Request", nullptr);
+      return;
+    }
     recordArrival(wallClockMs());
     const char *caller =
         evhttp_find_header(evhttp_request_get_input_headers(request), "x-jasmine-caller");
@@ -95,6 +102,11 @@
     std::unique_ptr<Timer> ReplyTimer;
   };
 
+  /// @returns the identity of this process, which requests name.
+  std::string instanceID() const {
+    return "upstream-" + Values.text("port") + "-" + std::to_string(StartTime);
+  }
+
   void recordArrival(TimeMs now) {
     Arrivals.push_back(now);
     while (Arrivals.front() + ArrivalWindow <= now)
@@ -200,8 +212,8 @@
       evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", "0");
       const std::string path = "/announce?service=" + Values.text("service") +
                                "&version=" + Values.text("serves-version") +
-                               "&slots=" + std::to_string(Slots) + "&id=upstream-" +
-                               Values.text("port") + "&born=" + std::to_string(StartTime) +
+                               "&slots=" + std::to_string(Slots) + "&id=" + instanceID() +
+                               "&born=" + std::to_string(StartTime) +
                                "&address=" + Values.text("address") + ":" + Values.text("port") +
                                (Draining ? "&draining=1" : "");
       evhttp_make_request(NodeConnection, request, EVHTTP_REQ_POST, path.c_str());
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -59,4 +59,12 @@
 mutant control_test control/control_task.cpp 's/closed.attach(kj::mv(rpc)).attach(kj::mv(network)).attach(kj::mv(counted))/closed.attach(kj::mv(rpc), kj::mv(network), kj::mv(counted))/' "a connection's stream is destroyed before its RPC state"
 mutant control_test control/control_store.cpp 's/\*RegisteredRoots < StoreRoots;/true;/' "each starting node registers"
 mutant load_model_test traffic/placement.cpp 's/constexpr std::size_t LocalSamples = 6;/constexpr std::size_t LocalSamples = 1;/' "one host is drawn instead of six compared"
+mutant traffic_test traffic/gate_base.cpp 's/= exclusionOf(\*it, now);/= Refusal::None;/' "a queued request is not checked again when it leaves the queue"
+mutant traffic_test traffic/gate_base.cpp 's/^    InFlight = 0;$//' "requests of an earlier process hold slots of the present one"
+mutant placement_test traffic/placement.cpp 's/if (process != entry.InstanceID)/if (false)/' "a failure of an earlier process ejects the present one"
+mutant watch_schedule_test control/watch_schedule.cpp 's/return CatchUpHold;/return Period * share.Watchers;/' "a watch is held although the store has not answered since a failure"
+mutant watch_schedule_test control/watch_schedule.cpp 's/share.Rank % share.Watchers + 1/share.Watchers/' "all watchers of a data centre are in step"
+mutant announcement_test traffic/announcement.cpp 's/now < it->second.At + TombstoneTime/false/' "departures of before a restart are ignored"
+mutant mesh_test mesh/host_table.cpp 's/      entry.Record.Departed = earlier;/      ;/' "a start of a node erases the departure of its upstream"
+mutant caller_service_test traffic/caller_service.h 's/return isNews \&\& change(configured);/return change(configured);/' "a reload of an old settings file changes the callers' service"
 exit $SURVIVED
