Ask the store for departures only where the upstream may have departed, and less often in an outage

Change: a node asks the store only when its first heartbeat is of an upstream that started before the node, so at no first start. Other nodes are asked in any case, with the floor. Writes back off, doubling.

Ruled out by reading: calls of the watches themselves (one a period for each data centre).

--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -14,7 +14,7 @@
 
 /// Backoff after a failed call to the store: initial, and maximum.
 constexpr DurationMs MinStoreBackoff = 50;
-constexpr DurationMs MaxStoreBackoff = 400;
+constexpr DurationMs MaxStoreBackoff = 800;
 /// Time after which a controller acts on an order even if it could not read the order's stored
 /// status.
 constexpr DurationMs StatusReadTimeout = 1 * MsPerSecond;
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -17,7 +17,6 @@
 /// Time for which the store keeps a departure: several times that in which a late heartbeat may
 /// arrive.
 constexpr std::int64_t DepartureLeaseSeconds = 120;
-constexpr DurationMs DepartureRetryDelay = 300;
 constexpr DurationMs LeasePeriod = 10 * MsPerSecond;
 constexpr DurationMs FloorJitter = 200;
 /// Multiple of the bootstrap delay over which starting nodes without known peers spread their
@@ -39,11 +38,10 @@
 
 kj::Promise<void> ControlTask::readDepartures() {
   return Store.send(StoreList{departureKeys()}).then([this](StoreResponse response) {
-    if (response.Result != StoreResult::Ok) {
-      recordEvent("store", "departures", "not read; other nodes are asked");
-      return;
-    }
+    if (response.Result != StoreResult::Ok)
+      recordEvent("store", "departures", "not read; only what other nodes know is restored");
     DeparturesRestored restored;
+    restored.FromStore = true;
     for (const StoreEntry &entry : response.Entries) {
       const std::optional<UpstreamDeparture> departure = decodeDeparture(entry.Value);
       if (departure.has_value())
@@ -55,16 +53,19 @@
   });
 }
 
-kj::Promise<void> ControlTask::storeDeparture(UpstreamDeparted message, TimeMs until) {
+kj::Promise<void> ControlTask::storeDeparture(UpstreamDeparted message, TimeMs until,
+                                              DurationMs backoff) {
   return Store.send(StoreGrantLease{DepartureLeaseSeconds})
-      .then([this, message](StoreResponse granted) -> kj::Promise<StoreResponse> {
+      .then([this, message](StoreResponse granted) -> kj::Promise<bool> {
         if (granted.Lease == 0)
-          return StoreResponse{};
-        return Store.send(StorePut{departureKeys() + message.Departure.ID.str(),
-                                   encodeDeparture(message.Departure), granted.Lease});
+          return false;
+        const StorePut put{departureKeys() + message.Departure.ID.str(),
+                           encodeDeparture(message.Departure), granted.Lease};
+        return Store.send(put).then(
+            [](StoreResponse written) { return written.Result == StoreResult::Ok; });
       })
-      .then([this, message, until](StoreResponse put) -> kj::Promise<void> {
-        if (put.Result == StoreResult::Ok) {
+      .then([this, message, until, backoff](bool written) -> kj::Promise<void> {
+        if (written) {
           Traffic.put(DepartureRecorded{message.Number});
           return kj::READY_NOW;
         }
@@ -73,8 +74,10 @@
           return kj::READY_NOW;
         }
         return timer()
-            .afterDelay((DepartureRetryDelay + randomBelow(DepartureRetryDelay)) * kj::MILLISECONDS)
-            .then([this, message, until] { return storeDeparture(message, until); });
+            .afterDelay((backoff + randomBelow(backoff)) * kj::MILLISECONDS)
+            .then([this, message, until, backoff] {
+              return storeDeparture(message, until, 2 * backoff);
+            });
       });
 }
 
@@ -115,15 +118,10 @@
   };
   return timer()
       .afterDelay((Settings.Times.BootstrapDelay / 2 + randomBelow(FloorJitter)) * kj::MILLISECONDS)
-      .then([this, queryStore = kj::mv(queryStore)] {
-        auto queries = kj::heapArrayBuilder<kj::Promise<void>>(2);
-        queries.add(queryStore());
-        queries.add(readDepartures());
-        return kj::joinPromises(queries.finish());
-      })
+      .then(kj::mv(queryStore))
       .then(kj::mv(queryParents))
       .then([this, departed] {
-        Traffic.put(*departed);
+        Traffic.put(std::move(*departed));
         FloorConfirmed = true;
         schedulePublish(PublishDelay);
       });
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -214,7 +214,12 @@
   StateChanges changes;
   changes.TableChanged = true;
   propagateChanges(changes);
-  spawn(storeDeparture(message, now + TombstoneTime), "departure");
+  spawn(storeDeparture(message, now + TombstoneTime, DepartureRetryDelay), "departure");
+}
+
+void ControlTask::handle(const DeparturesNeeded &message) {
+  static_cast<void>(message);
+  spawn(readDepartures(), "departures");
 }
 
 void ControlTask::handle(const TrafficTimelineEvent &message) {
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -36,6 +36,8 @@
 
 class LinkTask;
 
+/// Backoff after a departure could not be written to the store: initial; doubles with each failure.
+constexpr DurationMs DepartureRetryDelay = 300;
 /// Delay before a changed configuration or rollout is published to the traffic task.
 constexpr DurationMs PublishDelay = 5;
 
@@ -148,6 +150,7 @@
   void handle(const Drained &message);
   void handle(const TrafficTimelineEvent &message);
   void handle(const UpstreamDeparted &message);
+  void handle(const DeparturesNeeded &message);
 
   kj::Promise<void> keepRunning(std::function<kj::Promise<void>()> loop, const char *name);
   kj::Promise<void> wakeLoop();
@@ -160,7 +163,8 @@
   /// Reads the departures that were recorded before this process started.
   kj::Promise<void> readDepartures();
   /// Writes a departure to the store, with retries until it is no longer of use.
-  kj::Promise<void> storeDeparture(UpstreamDeparted message, TimeMs until);
+  /// @param backoff delay before the next retry.
+  kj::Promise<void> storeDeparture(UpstreamDeparted message, TimeMs until, DurationMs backoff);
   kj::Promise<void> storeLoop();
   kj::Promise<void> readHead();
   kj::Promise<void> readSections(Head head);
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -79,6 +79,7 @@
 /// Departures of the local upstream that were recorded before this process started.
 struct DeparturesRestored {
   std::vector<UpstreamDeparture> Departures;
+  bool FromStore = false; ///< False: those that other nodes know.
 };
 
 using TrafficCommand =
@@ -97,6 +98,8 @@
   std::uint64_t Number = 0;
   UpstreamDeparture Departure;
 };
+/// The upstream may have departed before this process started: the store has to be asked.
+struct DeparturesNeeded {};
 /// Request counts of the current evidence buckets, sent periodically during a rollout.
 struct EvidenceUpdate {
   std::vector<EvidenceReport> Reports;
@@ -133,7 +136,7 @@
 
 using ControlEvent =
     std::variant<UpstreamAnnounced, EvidenceUpdate, StoreReply, StoreWatchEvent, DrainRequested,
-                 GateClosing, Drained, TrafficTimelineEvent, UpstreamDeparted>;
+                 GateClosing, Drained, TrafficTimelineEvent, UpstreamDeparted, DeparturesNeeded>;
 
 using TrafficMailbox = Mailbox<TrafficCommand>;
 using ControlMailbox = Mailbox<ControlEvent>;
--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -22,7 +22,6 @@
 }
 
 void UpstreamTracker::restore(const std::vector<UpstreamDeparture> &departures, TimeMs now) {
-  Restored = true;
   for (const UpstreamDeparture &it : departures)
     Tombstones[it.ID] = {now, it};
   // Its heartbeat may have arrived before the departures were known.
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -62,9 +62,10 @@
   explicit UpstreamTracker(DurationMs heartbeatTimeout) : HeartbeatTimeout(heartbeatTimeout) {}
 
   void setHeartbeatTimeout(DurationMs timeout) { HeartbeatTimeout = timeout; }
-  /// Accepts no work until restore(): this node may have acknowledged departures before a restart.
+  /// Accepts no work until endWait(): this node may have acknowledged departures before a restart.
   void awaitDepartures() { Restored = false; }
-  /// Adds departures that were recorded before a restart of this node, or by other nodes.
+  void endWait() { Restored = true; }
+  /// Adds departures that were recorded before a restart of this node.
   void restore(const std::vector<UpstreamDeparture> &departures, TimeMs now);
   bool restored() const { return Restored; }
   /// @returns the departure of the current upstream; nullopt if it has not departed.
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -27,6 +27,9 @@
 /// Time after which a departure is acknowledged even if it is not recorded: an upstream takes an
 /// acknowledgement within a second.
 constexpr DurationMs MaxDepartureWait = 700;
+/// Time by which an upstream may start before its node although both start together; less than a
+/// process needs to start again.
+constexpr DurationMs MaxStartDifference = 400;
 
 /// Creates the event loop of the data path. All its objects belong to one thread, so that it needs
 /// no locks. The changelist passes changes to a descriptor to the kernel once per loop iteration.
@@ -51,6 +54,7 @@
       StopTimer(Base.get(), [this] { advanceStop(); }),
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
       ResponseTimer(Base.get(), [this] { releaseResponses(0, steadyClockMs()); }) {
+  StartedAt = wallClockMs();
   if (Settings.RecordsDepartures)
     AnnouncedUpstream.awaitDepartures();
   const auto wake = [](evutil_socket_t fd, short, void *arg) {
@@ -326,12 +330,28 @@
 }
 
 void TrafficTask::handle(DeparturesRestored &message) {
-  const bool first = !AnnouncedUpstream.restored();
   const bool accepted = AnnouncedUpstream.acceptsWork();
   AnnouncedUpstream.restore(message.Departures, steadyClockMs());
-  const bool changed = first || AnnouncedUpstream.acceptsWork() != accepted;
-  if (changed && AnnouncedUpstream.current().has_value())
+  (message.FromStore ? StoreAnswered : PeersAnswered) = true;
+  if (AnnouncedUpstream.acceptsWork() != accepted)
     applyAnnouncement();
+  awaitDepartures();
+}
+
+void TrafficTask::awaitDepartures() {
+  const auto &upstream = AnnouncedUpstream.current();
+  if (AnnouncedUpstream.restored() || !upstream.has_value())
+    return;
+  // An upstream that started with this process or later can't have departed before.
+  const bool isOlder = upstream->ProcessStart + MaxStartDifference < StartedAt;
+  if (isOlder && !StoreAsked) {
+    StoreAsked = true;
+    Control.put(DeparturesNeeded{});
+  }
+  if (isOlder && !(StoreAnswered && PeersAnswered))
+    return;
+  AnnouncedUpstream.endWait();
+  applyAnnouncement();
 }
 
 ManagementResponse TrafficTask::handleManagement(const ReadinessQuery &) {
@@ -359,6 +379,7 @@
 ManagementResponse TrafficTask::handleManagement(const Announcement &announcement) {
   if (AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs()) == HeartbeatResult::Changed)
     applyAnnouncement();
+  awaitDepartures();
   return acknowledge(AnnouncedUpstream.departure());
 }
 
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -79,6 +79,8 @@
   /// The upstream's responses state that it leaves.
   void handleLeaving();
   void applyAnnouncement();
+  /// Announces the upstream once the departures of before a restart are known as far as it needs.
+  void awaitDepartures();
   void recordCallerChange(const std::string &source);
   /// Has a departure recorded.
   /// @returns its number; 0 if it is recorded already, or needs no record.
@@ -127,6 +129,10 @@
   /// By ID and UpstreamDeparture::StartedBefore.
   std::map<std::pair<UpstreamID, TimeMs>, DepartureRecord> Departures;
   Timer ResponseTimer;
+  TimeMs StartedAt = 0;       ///< Unix time.
+  bool PeersAnswered = false; ///< Other nodes have told the departures that they know.
+  bool StoreAsked = false;
+  bool StoreAnswered = false; ///< The store has told them, or could not be asked.
   std::string Error;
 };
 
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -137,6 +137,7 @@
           after.applyHeartbeat(heartbeat("i-1", 10, 6), Now + 600);
         BOOST_TEST(!after.acceptsWork());
         after.restore({*departure}, Now + 700);
+        after.endWait();
         after.applyHeartbeat(heartbeat("i-1", 10, 6), Now + 3000);
         BOOST_TEST(!after.acceptsWork());
         // The same ID with a later start, or another process, is believed at once.
@@ -154,6 +155,7 @@
   tracker.applyHeartbeat(heartbeat("i-2", 20, 9), Now);
   BOOST_TEST(!tracker.acceptsWork());
   tracker.restore({UpstreamDeparture{UpstreamID("i-1"), 11}}, Now + 100);
+  tracker.endWait();
   BOOST_TEST(tracker.acceptsWork());
 }
 
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -269,6 +269,7 @@
 BOOST_AUTO_TEST_CASE(departure_is_acknowledged_once_it_is_recorded_or_its_time_is_up) {
   PlatformTask task(true);
   task.Inbox.put(DeparturesRestored{});
+  task.Inbox.put(DeparturesRestored{{}, true});
   sendHeartbeat("i-1", "a", 10);
   const std::string withdrawal = "DELETE /instances/i-1 HTTP/1.1\r\nHost: x\r\n\r\n";
   const int recorded = connectTo(ManagementPort);
@@ -295,6 +296,10 @@
     DeparturesRestored restored;
     if (left)
       restored.Departures.push_back({UpstreamID("i-1"), 11});
+    // The upstream is older than the node, so the store is asked as well as other nodes.
+    task.Inbox.put(DeparturesRestored{});
+    receive<DeparturesNeeded>(task.Control);
+    restored.FromStore = true;
     task.Inbox.put(std::move(restored));
     BOOST_TEST(receive<UpstreamAnnounced>(task.Control).Draining == left);
   }
