Keep the lock of a fault of the soak local, and print crossed responses

A fault that contains another one removed the inner lock twice and kept its own, so that later faults of the same upstream were left out and two faults of one node could overlap.

--- a/tests/fault_soak.sh
+++ b/tests/fault_soak.sh
@@ -58,7 +58,7 @@
 link() { curl -s -m 2 "http://$CONTROL/fault?link=$1&mode=$2&ms=${3:-0}"; }
 store_fault() { curl -s -m 2 "127.0.0.1:$STORE_PORT/standin/fault?$1" >/dev/null; }
 exclusively() { # KIND N COMMAND...: skips a fault whose target already has one
-  lock=$OUT/lock.$1.$2
+  local lock=$OUT/lock.$1.$2
   mkdir "$lock" 2>/dev/null || return 0
   shift 2
   "$@"
--- a/tools/jasmine_load.cpp
+++ b/tools/jasmine_load.cpp
@@ -264,6 +264,9 @@
     const bool tokenMatches =
         body.find(absl::StrCat("\"token\":\"", request.Number, "\"}")) != std::string::npos;
     Totals.Crossed += tokenMatches ? 0 : 1;
+    if (!tokenMatches)
+      std::cerr << absl::StrCat("crossed ", request.Kind->Path, "/", request.Number, ": status ",
+                                result.Status, ", body ", body, "\n");
     if (!request.Key.empty())
       Keys[request.Key].Answered = true;
     const std::string *version = findHeader(result.Headers, "x-upstream-version");
