--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -284,6 +284,13 @@
   const int overdue = connectTo(ManagementPort);
   sendText(overdue, "DELETE /instances/i-2 HTTP/1.1\r\nHost: x\r\n\r\n");
   BOOST_TEST(readHead(overdue).find("HTTP/1.1 200 ") == 0U);
+  // An upstream that disconnects before its response is sent leaves nothing behind.
+  const int gone = connectTo(ManagementPort);
+  sendText(gone, "DELETE /instances/i-3 HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto last = receive<UpstreamDeparted>(task.Control);
+  close(gone);
+  task.Inbox.put(DepartureRecorded{last.Number});
+  sendHeartbeat("i-4", "a", 20);
   close(recorded);
   close(overdue);
 }
