--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -102,6 +102,7 @@
   replaced @10 :UInt64;
   handedOver @11 :Bool;
   upstream @12 :Text;
+  departed @13 :Text;  # Last process of the upstream that has left or drains; empty: none known.
 }
 
 struct ConfigUpdate {
@@ -180,7 +181,8 @@
 interface Peer {
   exchange @0 (message :Exchange, holdMs :UInt32) -> (message :Exchange);
   evidence @1 (reports :List(EvidenceReport)) -> (progress :List(RolloutProgress));
-  floor @2 (host :Text) -> (version :UInt64);
+  floor @2 (host :Text) -> (version :UInt64, departed :Text);
+  # What a host that has started again must not fall behind: its version, and the departure of its upstream.
   ping @3 () -> (host :Text, incarnation :UInt64);
   config @4 (heldVersion :UInt64, heldDigest :UInt64) -> (update :Data);
   # The configuration of the receiver as a compressed ConfigUpdate against the version that the caller holds;
--- a/src/config/head_func.h
+++ b/src/config/head_func.h
@@ -11,6 +11,8 @@
 constexpr const char *HeadKey = "/jasmineloom/head";
 constexpr const char *SectionPrefix = "/jasmineloom/section/";
 constexpr const char *RootPrefix = "/jasmineloom/root/";
+/// Followed by data centre, host and ID of an upstream that has departed.
+constexpr const char *DeparturePrefix = "/jasmineloom/departed/";
 /// Number of sections; the hash of an object's key modulo this number selects its section.
 constexpr std::uint32_t SectionCount = 64;
 /// Number of most recent operations that the head records. A retry with one of their ids is not
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -2,6 +2,7 @@
 #include "control/control_task.h"
 
 #include "event_util.h"
+#include "wire_func.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -13,6 +14,10 @@
 namespace {
 
 constexpr std::int64_t RootLeaseSeconds = 30;
+/// Time for which the store keeps a departure: several times that in which a late heartbeat may
+/// arrive.
+constexpr std::int64_t DepartureLeaseSeconds = 120;
+constexpr DurationMs DepartureRetryDelay = 300;
 constexpr DurationMs LeasePeriod = 10 * MsPerSecond;
 constexpr DurationMs FloorJitter = 200;
 /// Multiple of the bootstrap delay over which starting nodes without known peers spread their
@@ -27,19 +32,70 @@
 
 } // namespace
 
+std::string ControlTask::departureKeys() const {
+  return absl::StrCat(DeparturePrefix, Settings.Identity.DataCentre.str(), "/",
+                      Settings.Identity.Host.str(), "/");
+}
+
+kj::Promise<void> ControlTask::readDepartures() {
+  return Store.send(StoreList{departureKeys()}).then([this](StoreResponse response) {
+    if (response.Result != StoreResult::Ok) {
+      recordEvent("store", "departures", "not read; other nodes are asked");
+      return;
+    }
+    DeparturesRestored restored;
+    for (const StoreEntry &entry : response.Entries) {
+      const std::optional<UpstreamDeparture> departure = decodeDeparture(entry.Value);
+      if (departure.has_value())
+        restored.Departures.push_back(*departure);
+      else
+        recordEvent("store", entry.Key, "refused: not a departure");
+    }
+    Traffic.put(std::move(restored));
+  });
+}
+
+kj::Promise<void> ControlTask::storeDeparture(UpstreamDeparted message, TimeMs until) {
+  return Store.send(StoreGrantLease{DepartureLeaseSeconds})
+      .then([this, message](StoreResponse granted) -> kj::Promise<StoreResponse> {
+        if (granted.Lease == 0)
+          return StoreResponse{};
+        return Store.send(StorePut{departureKeys() + message.Departure.ID.str(),
+                                   encodeDeparture(message.Departure), granted.Lease});
+      })
+      .then([this, message, until](StoreResponse put) -> kj::Promise<void> {
+        if (put.Result == StoreResult::Ok) {
+          Traffic.put(DepartureRecorded{message.Number});
+          return kj::READY_NOW;
+        }
+        if (steadyClockMs() >= until) {
+          recordEvent("store", message.Departure.ID.str(), "departure not recorded");
+          return kj::READY_NOW;
+        }
+        return timer()
+            .afterDelay((DepartureRetryDelay + randomBelow(DepartureRetryDelay)) * kj::MILLISECONDS)
+            .then([this, message, until] { return storeDeparture(message, until); });
+      });
+}
+
 kj::Promise<void> ControlTask::confirmFloor() {
-  auto queryParents = [this] {
+  auto departed = std::make_shared<DeparturesRestored>();
+  auto queryParents = [this, departed] {
     auto promises = kj::heapArrayBuilder<kj::Promise<void>>(Position.Parents.size());
     for (const HostID &parent : Position.Parents) {
       const HostRecord *record = Node.hosts().find(parent);
       const std::string address = record == nullptr ? std::string() : record->RpcAddress;
-      auto query = Peers.get(address).then([this](std::shared_ptr<PeerConnection> connection) {
-        auto request = connection->Peer.floorRequest();
-        request.setHost(Settings.Identity.Host.str());
-        return request.send().then([this, connection](auto &&response) {
-          Node.config().raiseFloor(response.getVersion());
-        });
-      });
+      auto query =
+          Peers.get(address).then([this, departed](std::shared_ptr<PeerConnection> connection) {
+            auto request = connection->Peer.floorRequest();
+            request.setHost(Settings.Identity.Host.str());
+            return request.send().then([this, connection, departed](auto &&response) {
+              Node.config().raiseFloor(response.getVersion());
+              const auto departure = decodeDeparture(wireText(response.getDeparted()));
+              if (departure.has_value())
+                departed->Departures.push_back(*departure);
+            });
+          });
       promises.add(timer()
                        .timeoutAfter(Settings.Times.FloorTimeout * kj::MILLISECONDS, kj::mv(query))
                        .catch_([](kj::Exception &&) {}));
@@ -59,9 +115,15 @@
   };
   return timer()
       .afterDelay((Settings.Times.BootstrapDelay / 2 + randomBelow(FloorJitter)) * kj::MILLISECONDS)
-      .then(kj::mv(queryStore))
+      .then([this, queryStore = kj::mv(queryStore)] {
+        auto queries = kj::heapArrayBuilder<kj::Promise<void>>(2);
+        queries.add(queryStore());
+        queries.add(readDepartures());
+        return kj::joinPromises(queries.finish());
+      })
       .then(kj::mv(queryParents))
-      .then([this] {
+      .then([this, departed] {
+        Traffic.put(*departed);
         FloorConfirmed = true;
         schedulePublish(PublishDelay);
       });
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -208,6 +208,15 @@
         "stop");
 }
 
+void ControlTask::handle(const UpstreamDeparted &message) {
+  const TimeMs now = steadyClockMs();
+  Node.recordDeparture(encodeDeparture(message.Departure), now);
+  StateChanges changes;
+  changes.TableChanged = true;
+  propagateChanges(changes);
+  spawn(storeDeparture(message, now + TombstoneTime), "departure");
+}
+
 void ControlTask::handle(const TrafficTimelineEvent &message) {
   recordEvent(message.Kind, message.Subject, message.Text);
 }
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -147,6 +147,7 @@
   void handle(const GateClosing &message);
   void handle(const Drained &message);
   void handle(const TrafficTimelineEvent &message);
+  void handle(const UpstreamDeparted &message);
 
   kj::Promise<void> keepRunning(std::function<kj::Promise<void>()> loop, const char *name);
   kj::Promise<void> wakeLoop();
@@ -154,6 +155,12 @@
   kj::Promise<void> tickLoop();
   kj::Promise<void> controllerLoop();
   kj::Promise<void> confirmFloor();
+  /// @returns the prefix of the store's keys for departures of this host's upstream.
+  std::string departureKeys() const;
+  /// Reads the departures that were recorded before this process started.
+  kj::Promise<void> readDepartures();
+  /// Writes a departure to the store, with retries until it is no longer of use.
+  kj::Promise<void> storeDeparture(UpstreamDeparted message, TimeMs until);
   kj::Promise<void> storeLoop();
   kj::Promise<void> readHead();
   kj::Promise<void> readSections(Head head);
--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -180,6 +180,7 @@
                                       : nativeEnvironment();
   TrafficSettings trafficSetup = trafficSettings(values, incarnation);
   trafficSetup.Http = environment.Http;
+  trafficSetup.RecordsDepartures = true;
   TrafficTask traffic(std::move(trafficSetup), environment, toTraffic, toControl);
   if (!traffic.listen()) {
     std::cerr << "jasmined: " << traffic.error() << "\n";
--- a/src/mesh/host_table.cpp
+++ b/src/mesh/host_table.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace jasmineloom {
 
@@ -33,8 +34,11 @@
     ByChangeIndex.erase(entry.ChangeIndex);
     Digest -= digestOf(entry.Record);
   }
-  if (newer)
-    entry.Record = record;
+  if (newer) {
+    const std::string earlier = std::exchange(entry.Record, record).Departed;
+    if (entry.Record.Departed.empty())
+      entry.Record.Departed = earlier;
+  }
   entry.Record.ReplacedIncarnation = replaced;
   entry.From = from;
   entry.ChangeIndex = ++ChangeIndex;
--- a/src/mesh/host_type.h
+++ b/src/mesh/host_type.h
@@ -36,6 +36,9 @@
   std::string Upstream; ///< Instance id of the upstream's process; may be empty.
   /// The host is gone, and all other hosts of its service have its idempotency keys.
   bool KeysHandedOver = false;
+  /// Last process of the upstream that has left or drains, see encodeDeparture(); empty: none
+  /// known. Outlives the node's process: a later incarnation without one takes it over.
+  std::string Departed{};
   auto operator<=>(const HostRecord &) const = default;
 };
 
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -209,6 +209,8 @@
   if (known == nullptr)
     return;
   Self.ReplacedIncarnation = known->ReplacedIncarnation;
+  if (Self.Departed.empty())
+    Self.Departed = known->Departed;
   if (*known == Self)
     return;
   Self.Sequence = std::max(Self.Sequence, known->Sequence) + 1;
@@ -290,6 +292,18 @@
   Hosts.merge(Self, Identity.Host, now);
 }
 
+void MeshNode::recordDeparture(const std::string &departed, TimeMs now) {
+  if (Self.Departed == departed)
+    return;
+  Self.Departed = departed;
+  refresh(now);
+}
+
+std::string MeshNode::departedAt(const HostID &host) const {
+  const HostRecord *record = Hosts.find(host);
+  return record == nullptr ? std::string() : record->Departed;
+}
+
 void MeshNode::leave(bool keysHandedOver, TimeMs now) {
   Self.State = HostState::Gone;
   Self.KeysHandedOver = keysHandedOver;
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -153,6 +153,13 @@
   void announce(HostState state, const ServiceName &service, const VersionLabel &version,
                 std::uint32_t slots, const std::string &upstream, TimeMs now);
 
+  /// Publishes that a process of the upstream has left or drains.
+  /// @param departed see HostRecord::Departed.
+  void recordDeparture(const std::string &departed, TimeMs now);
+
+  /// @returns HostRecord::Departed of a host; empty if the host is unknown.
+  std::string departedAt(const HostID &host) const;
+
   /// Marks this host as gone when its process ends.
   /// @param keysHandedOver whether all other hosts of its service have its idempotency keys.
   void leave(bool keysHandedOver, TimeMs now);
--- a/src/mesh/peer_service.cpp
+++ b/src/mesh/peer_service.cpp
@@ -54,6 +54,7 @@
 kj::Promise<void> PeerService::floor(FloorContext context) {
   const HostID host(wireText(context.getParams().getHost()));
   context.getResults().setVersion(Control.node().floorFor(host));
+  context.getResults().setDeparted(Control.node().departedAt(host));
   return kj::READY_NOW;
 }
 
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -4,6 +4,7 @@
 #include "mailbox.h"
 #include "rollout/rollout_type.h"
 #include "store/store_type.h"
+#include "traffic/announcement.h"
 #include "traffic/gate_base.h"
 #include "traffic/routing_view.h"
 
@@ -64,8 +65,18 @@
 /// Ends the task's event loop.
 struct StopTask {};
 
+/// A departure of the local upstream is recorded where it outlives this process.
+struct DepartureRecorded {
+  std::uint64_t Number = 0; ///< Of the UpstreamDeparted message.
+};
+/// Departures of the local upstream that were recorded before this process started.
+struct DeparturesRestored {
+  std::vector<UpstreamDeparture> Departures;
+};
+
 using TrafficCommand =
-    std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain, ControlFigures, StopTask>;
+    std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain, ControlFigures, StopTask,
+                 DepartureRecorded, DeparturesRestored>;
 
 // --- To the control task ---
 
@@ -74,6 +85,11 @@
   LocalUpstream Upstream;
   bool Draining = false;
 };
+/// A process of the local upstream has departed.
+struct UpstreamDeparted {
+  std::uint64_t Number = 0;
+  UpstreamDeparture Departure;
+};
 /// Request counts of the current evidence buckets, sent periodically during a rollout.
 struct EvidenceUpdate {
   std::vector<EvidenceReport> Reports;
@@ -108,8 +124,9 @@
   std::string Text;
 };
 
-using ControlEvent = std::variant<UpstreamAnnounced, EvidenceUpdate, StoreReply, StoreWatchEvent,
-                                  DrainRequested, GateClosing, Drained, TrafficTimelineEvent>;
+using ControlEvent =
+    std::variant<UpstreamAnnounced, EvidenceUpdate, StoreReply, StoreWatchEvent, DrainRequested,
+                 GateClosing, Drained, TrafficTimelineEvent, UpstreamDeparted>;
 
 using TrafficMailbox = Mailbox<TrafficCommand>;
 using ControlMailbox = Mailbox<ControlEvent>;
--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -1,12 +1,50 @@
 /// @file announcement.cpp Heartbeats of the local upstream, and failure detection from them.
 #include "traffic/announcement.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
 namespace jasmineloom {
 
+std::string encodeDeparture(const UpstreamDeparture &departure) {
+  return absl::StrCat(departure.Sequence, " ", departure.StartedBefore, " ", departure.ID.str());
+}
+
+std::optional<UpstreamDeparture> decodeDeparture(const std::string &text) {
+  const std::vector<std::string> parts = absl::StrSplit(text, absl::MaxSplits(' ', 2));
+  UpstreamDeparture departure;
+  if (parts.size() != 3 || !absl::SimpleAtoi(parts[0], &departure.Sequence) ||
+      !absl::SimpleAtoi(parts[1], &departure.StartedBefore) || parts[2].empty())
+    return std::nullopt;
+  departure.ID = UpstreamID(parts[2]);
+  return departure;
+}
+
+void UpstreamTracker::restore(const std::vector<UpstreamDeparture> &departures, TimeMs now) {
+  Restored = true;
+  for (const UpstreamDeparture &it : departures)
+    Tombstones[it.ID] = {now, it};
+  // Its heartbeat may have arrived before the departures were known.
+  if (Current.has_value() && hasTombstone(*Current, now))
+    Withdrawn = true;
+}
+
+std::optional<UpstreamDeparture> UpstreamTracker::departure() const {
+  const bool departed = Current.has_value() && (Current->Draining || Withdrawn || Leaving);
+  if (!departed)
+    return std::nullopt;
+  UpstreamDeparture departure{Current->ID, Current->ProcessStart + 1};
+  if (!Withdrawn && !Leaving)
+    departure.Sequence = Current->Sequence;
+  return departure;
+}
+
 bool UpstreamTracker::hasTombstone(const Announcement &announcement, TimeMs now) const {
   const auto it = Tombstones.find(announcement.ID);
   return it != Tombstones.end() && now < it->second.At + TombstoneTime &&
-         announcement.ProcessStart < it->second.UnixAt;
+         announcement.ProcessStart < it->second.Departure.StartedBefore &&
+         announcement.Sequence <= it->second.Departure.Sequence;
 }
 
 bool UpstreamTracker::isStale(const Announcement &announcement, TimeMs now) const {
@@ -45,7 +83,7 @@
   if (!Current.has_value() || Current->ID != id) {
     std::erase_if(Tombstones,
                   [now](const auto &it) { return now >= it.second.At + TombstoneTime; });
-    Tombstones[id] = {now, unixNow};
+    Tombstones[id] = {now, {id, unixNow}};
     return false;
   }
   Withdrawn = true;
@@ -66,7 +104,8 @@
 }
 
 bool UpstreamTracker::acceptsWork() const {
-  return Current.has_value() && !Current->Draining && !Withdrawn && !Leaving && !TimedOut;
+  return Restored && Current.has_value() && !Current->Draining && !Withdrawn && !Leaving &&
+         !TimedOut;
 }
 
 } // namespace jasmineloom
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jasmineloom {
 
@@ -25,6 +26,20 @@
   auto operator<=>(const Announcement &) const = default;
 };
 
+/// Departure of an upstream's process: it has deregistered, drains or states that it leaves. Kept
+/// in the store and by other nodes, because an earlier heartbeat may arrive after this node's
+/// restart.
+struct UpstreamDeparture {
+  UpstreamID ID;
+  TimeMs StartedBefore = 0; ///< Unix time; processes with the ID that start later have not left.
+  /// Heartbeats of the process up to this one are older than its departure.
+  std::uint64_t Sequence = ~std::uint64_t{0};
+  auto operator<=>(const UpstreamDeparture &) const = default;
+};
+std::string encodeDeparture(const UpstreamDeparture &departure);
+/// @returns nullopt if the text is malformed.
+std::optional<UpstreamDeparture> decodeDeparture(const std::string &text);
+
 /// Largest number of slots that an upstream may announce.
 constexpr std::uint64_t MaxAnnouncedSlots = 100000;
 
@@ -46,6 +61,14 @@
   /// requests.
   explicit UpstreamTracker(DurationMs heartbeatTimeout) : HeartbeatTimeout(heartbeatTimeout) {}
 
+  /// Accepts no work until restore(): this node may have acknowledged departures before a restart.
+  void awaitDepartures() { Restored = false; }
+  /// Adds departures that were recorded before a restart of this node, or by other nodes.
+  void restore(const std::vector<UpstreamDeparture> &departures, TimeMs now);
+  bool restored() const { return Restored; }
+  /// @returns the departure of the current upstream; nullopt if it has not departed.
+  std::optional<UpstreamDeparture> departure() const;
+
   HeartbeatResult applyHeartbeat(const Announcement &announcement, TimeMs now);
   /// Deregisters an upstream, which counts as draining from then on. If it is not the current one,
   /// because this node has just started, a tombstone makes its delayed heartbeats stale.
@@ -68,10 +91,10 @@
   bool hasLeft() const { return Withdrawn || TimedOut; }
 
 private:
-  /// Record of an upstream that deregistered while it was not the current one.
+  /// Record of an upstream that departed while it was not the current one.
   struct Tombstone {
-    TimeMs At = 0;     ///< Steady clock.
-    TimeMs UnixAt = 0; ///< Unix time.
+    TimeMs At = 0; ///< Steady clock.
+    UpstreamDeparture Departure;
   };
 
   bool isStale(const Announcement &announcement, TimeMs now) const;
@@ -84,6 +107,7 @@
   bool Withdrawn = false;
   bool Leaving = false; ///< Stated in responses of the current process.
   bool TimedOut = false;
+  bool Restored = true;
 };
 
 } // namespace jasmineloom
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -27,6 +27,8 @@
   std::vector<std::string> ManagementAddresses; ///< IP:port.
   std::string StoreAddress;                     ///< IP:port.
   ServiceName CallerService;                    ///< Service of the callers on this host.
+  /// Departures of the upstream are recorded by the control task and restored after a start.
+  bool RecordsDepartures = false;
   HttpHeaderNames Http;
   DurationMs HeartbeatTimeout = 0; ///< An upstream silent for this long gets no new requests.
   DurationMs StopTime = 0; ///< Time limit for a drain, from its start to the end of the process.
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -24,6 +24,9 @@
 /// waited for them.
 constexpr DurationMs MaxStopTime = 200;
 constexpr int WatchTimeoutSeconds = 3600;
+/// Time after which a departure is acknowledged even if it is not recorded: an upstream takes an
+/// acknowledgement within a second.
+constexpr DurationMs MaxDepartureWait = 700;
 
 /// Creates the event loop of the data path. All its objects belong to one thread, so that it needs
 /// no locks. The changelist passes changes to a descriptor to the kernel once per loop iteration.
@@ -46,7 +49,10 @@
       StorePool(Base.get(), MaxStoreResponseBytes),
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
       StopTimer(Base.get(), [this] { advanceStop(); }),
-      HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }) {
+      HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
+      ResponseTimer(Base.get(), [this] { releaseResponses(0, steadyClockMs()); }) {
+  if (Settings.RecordsDepartures)
+    AnnouncedUpstream.awaitDepartures();
   const auto wake = [](evutil_socket_t fd, short, void *arg) {
     std::uint64_t count = 0;
     static_cast<void>(read(fd, &count, sizeof(count)) > 0);
@@ -224,6 +230,8 @@
 void TrafficTask::handle(StopTask &message) {
   static_cast<void>(message);
   StopSince = steadyClockMs();
+  for (const HeldResponse &it : std::exchange(HeldResponses, {}))
+    sendManagement(it.Request, it.Response);
   Ingress->stopListening();
   LocalGate->stopListening();
   StopTimer.start(StopCheckPeriod);
@@ -252,10 +260,64 @@
   call.Body = textOf(evhttp_request_get_input_buffer(request));
   const ManagementResponse response =
       std::visit([this](const auto &it) { return handleManagement(it); }, Env.ReadManagement(call));
+  if (response.Departure == 0) {
+    sendManagement(request, response);
+    return;
+  }
+  HeldResponses.push_back({request, response, steadyClockMs() + MaxDepartureWait});
+  ResponseTimer.ensure(MaxDepartureWait);
+}
+
+void TrafficTask::sendManagement(evhttp_request *request, const ManagementResponse &response) {
   const EvBufferPtr buf = makeBuffer(response.Text);
   evhttp_send_reply(request, response.Status, nullptr, buf.get());
 }
 
+std::uint64_t TrafficTask::recordDeparture(const UpstreamDeparture &departure) {
+  if (!Settings.RecordsDepartures || departure.ID.empty())
+    return 0;
+  const std::uint64_t number = Departures.size() + 1;
+  const auto [it, added] = Departures.try_emplace({departure.ID, departure.StartedBefore});
+  if (added) {
+    it->second.Number = number;
+    Control.put(UpstreamDeparted{number, departure});
+  }
+  return it->second.Recorded ? 0 : it->second.Number;
+}
+
+void TrafficTask::releaseResponses(std::uint64_t departure, TimeMs now) {
+  std::vector<HeldResponse> held;
+  for (const HeldResponse &it : HeldResponses) {
+    const bool recorded = it.Response.Departure == departure;
+    if (!recorded && now < it.Due) {
+      held.push_back(it);
+      continue;
+    }
+    if (!recorded)
+      Control.put(TrafficTimelineEvent{"announce", "departure",
+                                       "acknowledged before it was recorded in the store"});
+    sendManagement(it.Request, it.Response);
+  }
+  HeldResponses = std::move(held);
+  if (!HeldResponses.empty())
+    ResponseTimer.start(HeldResponses.front().Due > now ? HeldResponses.front().Due - now : 0);
+}
+
+void TrafficTask::handle(DepartureRecorded &message) {
+  for (auto &[process, record] : Departures)
+    record.Recorded |= record.Number == message.Number;
+  releaseResponses(message.Number, steadyClockMs());
+}
+
+void TrafficTask::handle(DeparturesRestored &message) {
+  const bool first = !AnnouncedUpstream.restored();
+  const bool accepted = AnnouncedUpstream.acceptsWork();
+  AnnouncedUpstream.restore(message.Departures, steadyClockMs());
+  const bool changed = first || AnnouncedUpstream.acceptsWork() != accepted;
+  if (changed && AnnouncedUpstream.current().has_value())
+    applyAnnouncement();
+}
+
 ManagementResponse TrafficTask::handleManagement(const ReadinessQuery &) {
   const bool ready = Ready && !Draining;
   return {ready ? 200 : 503, Draining ? "draining\n" : ready ? "ready\n" : "starting\n"};
@@ -281,13 +343,19 @@
 ManagementResponse TrafficTask::handleManagement(const Announcement &announcement) {
   if (AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs()) == HeartbeatResult::Changed)
     applyAnnouncement();
-  return {200, Env.HeartbeatResponse()};
+  return acknowledge(AnnouncedUpstream.departure());
 }
 
 ManagementResponse TrafficTask::handleManagement(const Withdrawal &withdrawal) {
-  if (AnnouncedUpstream.withdraw(withdrawal.ID, steadyClockMs(), wallClockMs()))
-    applyAnnouncement();
-  return {200, Env.HeartbeatResponse()};
+  const TimeMs unixNow = wallClockMs();
+  if (!AnnouncedUpstream.withdraw(withdrawal.ID, steadyClockMs(), unixNow))
+    return acknowledge(UpstreamDeparture{withdrawal.ID, unixNow});
+  applyAnnouncement();
+  return acknowledge(AnnouncedUpstream.departure());
+}
+
+ManagementResponse TrafficTask::acknowledge(const std::optional<UpstreamDeparture> &departure) {
+  return {200, Env.HeartbeatResponse(), departure.has_value() ? recordDeparture(*departure) : 0};
 }
 
 void TrafficTask::handleLeaving() {
@@ -295,10 +363,13 @@
     return;
   Control.put(TrafficTimelineEvent{"host", AnnouncedUpstream.current()->ID.str(),
                                    "states in its responses that it leaves"});
+  static_cast<void>(recordDeparture(*AnnouncedUpstream.departure()));
   applyAnnouncement();
 }
 
 void TrafficTask::applyAnnouncement() {
+  if (!AnnouncedUpstream.restored())
+    return;
   const Announcement &current = *AnnouncedUpstream.current();
   const LocalUpstream upstream{current.Service, current.Version, current.Slots, current.ID.str(),
                                current.ProcessStart};
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -10,7 +10,9 @@
 #include <event2/http.h>
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <vector>
 
 namespace jasmineloom {
 
@@ -18,6 +20,7 @@
 struct ManagementResponse {
   int Status = 200;
   std::string Text;
+  std::uint64_t Departure = 0; ///< Sent once this departure is recorded; 0: at once.
 };
 
 /// Owns the libevent loop and all HTTP sockets of the process. Runs in a thread of its own.
@@ -37,6 +40,16 @@
   void run();
 
 private:
+  /// A response to the upstream that waits until its departure is recorded.
+  struct HeldResponse {
+    evhttp_request *Request = nullptr;
+    ManagementResponse Response;
+    TimeMs Due = 0;
+  };
+  struct DepartureRecord {
+    std::uint64_t Number = 0;
+    bool Recorded = false;
+  };
   struct HttpDeleter {
     void operator()(evhttp *http) const { evhttp_free(http); }
   };
@@ -48,6 +61,8 @@
   void handle(BeginDrain &message);
   void handle(ControlFigures &message);
   void handle(StopTask &message);
+  void handle(DepartureRecorded &message);
+  void handle(DeparturesRestored &message);
   void handleManagement(evhttp_request *request);
   ManagementResponse handleManagement(const ReadinessQuery &query);
   ManagementResponse handleManagement(const HealthQuery &query);
@@ -56,14 +71,23 @@
   ManagementResponse handleManagement(const Announcement &announcement);
   ManagementResponse handleManagement(const Withdrawal &withdrawal);
   ManagementResponse handleManagement(const InvalidCall &call);
+  /// Builds the response to a heartbeat or withdrawal.
+  /// @param departure departure of the upstream that it acknowledges.
+  ManagementResponse acknowledge(const std::optional<UpstreamDeparture> &departure);
   /// The upstream's responses state that it leaves.
   void handleLeaving();
   void applyAnnouncement();
+  /// Has a departure recorded.
+  /// @returns its number; 0 if it is recorded already, or needs no record.
+  std::uint64_t recordDeparture(const UpstreamDeparture &departure);
+  /// Sends the responses that wait for a departure, or all whose time is up.
+  void releaseResponses(std::uint64_t departure, TimeMs now);
   bool isUpstreamGone() const;
   void advanceDrain();
   void advanceStop();
   void startHeartbeatTimer();
   void checkHeartbeat();
+  void sendManagement(evhttp_request *request, const ManagementResponse &response);
   static void onManagement(evhttp_request *request, void *arg);
   static void onWatchChunk(evhttp_request *request, void *arg);
   static void onWatchEnd(evhttp_request *request, void *arg);
@@ -95,6 +119,10 @@
   TimeMs StopSince = 0;
   Timer StopTimer;
   Timer HeartbeatTimer;
+  std::vector<HeldResponse> HeldResponses;
+  /// By ID and UpstreamDeparture::StartedBefore.
+  std::map<std::pair<UpstreamID, TimeMs>, DepartureRecord> Departures;
+  Timer ResponseTimer;
   std::string Error;
 };
 
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -24,6 +24,7 @@
   to.setReplaced(record.ReplacedIncarnation);
   to.setHandedOver(record.KeysHandedOver);
   to.setUpstream(record.Upstream);
+  to.setDeparted(record.Departed);
 }
 
 HostRecord readRecord(wire::HostRecord::Reader from) {
@@ -42,6 +43,7 @@
   record.ReplacedIncarnation = from.getReplaced();
   record.KeysHandedOver = from.getHandedOver();
   record.Upstream = wireText(from.getUpstream());
+  record.Departed = wireText(from.getDeparted());
   return record;
 }
 
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -115,3 +115,51 @@
   tracker.applyHeartbeat(heartbeat("i-1", 20, 1), Now + 200);
   BOOST_TEST(tracker.acceptsWork());
 }
+
+// Guards against a restarted node that believes a heartbeat from before a departure that it has
+// acknowledged.
+BOOST_AUTO_TEST_CASE(departure_from_before_a_restart_makes_earlier_heartbeats_stale) {
+  for (const bool drains : {false, true}) {
+    UpstreamTracker before(HeartbeatTimeout);
+    BOOST_TEST(!before.departure().has_value());
+    before.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+    if (drains)
+      before.applyHeartbeat(heartbeat("i-1", 10, 7, true), Now);
+    else
+      before.withdraw(UpstreamID("i-1"), Now, 30);
+    const auto departure = decodeDeparture(encodeDeparture(*before.departure()));
+    BOOST_REQUIRE(departure.has_value());
+    for (const bool heartbeatFirst : {false, true}) {
+      BOOST_TEST_CONTEXT("drains " << drains << ", heartbeat first " << heartbeatFirst) {
+        UpstreamTracker after(HeartbeatTimeout);
+        after.awaitDepartures();
+        if (heartbeatFirst)
+          after.applyHeartbeat(heartbeat("i-1", 10, 6), Now + 600);
+        BOOST_TEST(!after.acceptsWork());
+        after.restore({*departure}, Now + 700);
+        after.applyHeartbeat(heartbeat("i-1", 10, 6), Now + 3000);
+        BOOST_TEST(!after.acceptsWork());
+        // The same ID with a later start, or another process, is believed at once.
+        after.applyHeartbeat(heartbeat("i-1", 40, 1), Now + 4000);
+        BOOST_TEST(after.acceptsWork());
+      }
+    }
+  }
+}
+
+// Guards against a sound upstream that stays out after a restart of its node.
+BOOST_AUTO_TEST_CASE(upstream_that_has_not_departed_is_back_once_the_departures_are_known) {
+  UpstreamTracker tracker(HeartbeatTimeout);
+  tracker.awaitDepartures();
+  tracker.applyHeartbeat(heartbeat("i-2", 20, 9), Now);
+  BOOST_TEST(!tracker.acceptsWork());
+  tracker.restore({UpstreamDeparture{UpstreamID("i-1"), 11}}, Now + 100);
+  BOOST_TEST(tracker.acceptsWork());
+}
+
+BOOST_AUTO_TEST_CASE(malformed_departures_are_refused) {
+  for (const char *text : {"", "1", "1 2", "1 2 ", "x 2 i-1", "1 y i-1", "-1 2 i-1", "1  2 i-1"})
+    BOOST_TEST(!decodeDeparture(text).has_value(), text);
+  const UpstreamDeparture departure{UpstreamID("an id with blanks"), 12, 3};
+  BOOST_TEST((decodeDeparture(encodeDeparture(departure)) == departure));
+}
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -550,3 +550,20 @@
   BOOST_TEST(
       isRefused([](auto to) { to.initRecords(1)[0].setState(static_cast<wire::HostState>(9)); }));
 }
+
+// Guards against the loss of an acknowledged departure with the process that acknowledged it.
+BOOST_AUTO_TEST_CASE(departure_of_an_upstream_outlives_the_process_of_its_host) {
+  Fixture mesh;
+  mesh.exchange("leaf", "relay", MessageFault::None, MessageFault::None);
+  mesh.node("leaf").recordDeparture("left", StartTime);
+  mesh.exchange("leaf", "relay", MessageFault::None, MessageFault::None);
+  mesh.start("leaf");
+  mesh.exchange("leaf", "relay", MessageFault::None, MessageFault::None);
+  BOOST_TEST(mesh.node("relay").departedAt(HostID("leaf")) == "left");
+  mesh.exchange("relay", "root", MessageFault::None, MessageFault::None);
+  BOOST_TEST(mesh.node("root").departedAt(HostID("leaf")) == "left");
+  // A later departure replaces it.
+  mesh.node("leaf").recordDeparture("left later", StartTime);
+  mesh.exchange("leaf", "relay", MessageFault::None, MessageFault::None);
+  BOOST_TEST(mesh.node("relay").departedAt(HostID("leaf")) == "left later");
+}
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -93,6 +93,19 @@
   close(fd);
 }
 
+/// @returns the first message of a kind, once it has arrived; fails after a time limit.
+template <typename MessageT> MessageT receive(ControlMailbox &control) {
+  for (int n = 0; n < 500; ++n) {
+    for (ControlEvent &event : control.takeAll()) {
+      if (auto *message = std::get_if<MessageT>(&event); message != nullptr)
+        return *message;
+    }
+    usleep(10000);
+  }
+  BOOST_FAIL("no such message");
+  return {};
+}
+
 /// Sends a request for a service to the gate, as another node's ingress does.
 /// @param deadline time limit, ms.
 /// @returns the connection.
@@ -225,3 +238,59 @@
   for (const int fd : {running, waiting, next, connection, second, upstream})
     close(fd);
 }
+
+// Guards against a departure that is acknowledged while only this process knows of it.
+BOOST_AUTO_TEST_CASE(departure_is_acknowledged_once_it_is_recorded_or_its_time_is_up) {
+  TrafficMailbox inbox;
+  ControlMailbox control;
+  const Environment environment = platform::platformEnvironment();
+  TrafficSettings settings = testSettings();
+  settings.Http = environment.Http;
+  settings.RecordsDepartures = true;
+  TrafficTask task(settings, environment, inbox, control);
+  BOOST_REQUIRE(task.listen());
+  std::thread loop([&task] { task.run(); });
+  inbox.put(DeparturesRestored{});
+  sendHeartbeat("i-1", "a", 10);
+  const std::string withdrawal = "DELETE /instances/i-1 HTTP/1.1\r\nHost: x\r\n\r\n";
+  const int recorded = connectTo(ManagementPort);
+  sendText(recorded, withdrawal);
+  const auto departed = receive<UpstreamDeparted>(control);
+  BOOST_TEST((departed.Departure == UpstreamDeparture{UpstreamID("i-1"), 11}));
+  pollfd early{recorded, POLLIN, 0};
+  BOOST_TEST(poll(&early, 1, 100) == 0);
+  inbox.put(DepartureRecorded{departed.Number});
+  BOOST_TEST(readHead(recorded).find("HTTP/1.1 200 ") == 0U);
+  // The store does not answer: the upstream is told in time all the same.
+  const int overdue = connectTo(ManagementPort);
+  sendText(overdue, "DELETE /instances/i-2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  pollfd late{overdue, POLLIN, 0};
+  BOOST_TEST(poll(&late, 1, 1000) == 1);
+  BOOST_TEST(readHead(overdue).find("HTTP/1.1 200 ") == 0U);
+  inbox.put(StopTask{});
+  loop.join();
+  close(recorded);
+  close(overdue);
+}
+
+// Guards against a restarted node that serves an upstream which has left.
+BOOST_AUTO_TEST_CASE(late_heartbeat_after_a_restart_does_not_bring_back_an_upstream_that_left) {
+  for (const bool left : {true, false}) {
+    TrafficMailbox inbox;
+    ControlMailbox control;
+    const Environment environment = platform::platformEnvironment();
+    TrafficSettings settings = testSettings();
+    settings.RecordsDepartures = true;
+    TrafficTask task(settings, environment, inbox, control);
+    BOOST_REQUIRE(task.listen());
+    std::thread loop([&task] { task.run(); });
+    sendHeartbeat("i-1", "a", 10, 6);
+    DeparturesRestored restored;
+    if (left)
+      restored.Departures.push_back({UpstreamID("i-1"), 11});
+    inbox.put(std::move(restored));
+    BOOST_TEST(receive<UpstreamAnnounced>(control).Draining == left);
+    inbox.put(StopTask{});
+    loop.join();
+  }
+}
