Tell which process and heartbeat changed the caller's service

New: a host line for the first heartbeat of each other process, believed or not, with service, version, born and sequence of both and the service of the settings; caller_requests_total by service; heartbeats_total by effect. No decision is changed.

--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -7,6 +7,24 @@
 
 namespace jasmineloom {
 
+std::string_view nameOf(HeartbeatResult result) {
+  switch (result) {
+  case HeartbeatResult::Changed:
+    return "changed";
+  case HeartbeatResult::Renewed:
+    return "renewed";
+  case HeartbeatResult::Stale:
+    return "stale";
+  }
+  return "";
+}
+
+std::string describe(const Announcement &announcement) {
+  return absl::StrCat(announcement.ID.str(), " of ", announcement.Service.str(), " ",
+                      announcement.Version.str(), " (born ", announcement.ProcessStart,
+                      ", sequence ", announcement.Sequence, ")");
+}
+
 std::string encodeDeparture(const UpstreamDeparture &departure) {
   return absl::StrCat(departure.Sequence, " ", departure.StartedBefore, " ", departure.ID.str());
 }
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jasmineloom {
@@ -49,6 +50,10 @@
   Renewed, ///< The state stayed the same; the timeout was extended.
   Stale,   ///< Older than the current state; ignored.
 };
+/// @returns the name used in metrics.
+std::string_view nameOf(HeartbeatResult result);
+/// @returns the process, its service and its sequence, for logs.
+std::string describe(const Announcement &announcement);
 
 /// Time for which the tombstone of an upstream is kept: its last heartbeats may be seconds late.
 constexpr DurationMs TombstoneTime = 30 * MsPerSecond;
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -207,6 +207,7 @@
   context.Request = std::move(request);
   context.CallerRequestID = headerValue(context.Request.Headers, Settings.Http.RequestID);
   context.CallerName = Caller.current();
+  Stats.recordCaller(context.CallerName);
   context.ArrivedAt = now;
   context.ArrivedAtUs = steadyClockUs();
   context.RoutingDraw = Random();
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -67,6 +67,13 @@
   for (const auto &[key, n] : NewVersion)
     absl::StrAppend(&out, "jasmineloom_new_version_requests_total{service=\"", key.first,
                     "\",reason=\"", key.second ? "share" : "no-old-upstream", "\"} ", n, "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_caller_requests_total counter\n");
+  for (const auto &[service, n] : Callers)
+    absl::StrAppend(&out, "jasmineloom_caller_requests_total{service=\"", service, "\"} ", n, "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_heartbeats_total counter\n");
+  for (const auto &[result, n] : Heartbeats)
+    absl::StrAppend(&out, "jasmineloom_heartbeats_total{result=\"", toString(nameOf(result)),
+                    "\"} ", n, "\n");
   absl::StrAppend(&out, "# TYPE jasmineloom_retries_total counter\njasmineloom_retries_total ",
                   Retries, "\n");
   absl::StrAppend(&out, "# TYPE jasmineloom_limit_refusals_total counter\n",
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -25,6 +25,10 @@
   /// @param latencyUs time since its arrival, microseconds; used for answered requests only.
   void recordRequest(const RouteName &route, Outcome outcome, Refusal reason, double latencyUs);
   void recordRetry() { ++Retries; }
+  /// Counts a request of this host's callers by the service that it names as its caller.
+  void recordCaller(const ServiceName &service) { ++Callers[service.str()]; }
+  /// Counts a heartbeat by its effect.
+  void recordHeartbeat(HeartbeatResult result) { ++Heartbeats[result]; }
   /// Counts an attempt that was sent to the new version of a running rollout.
   /// @param byShare the version was drawn by its share; otherwise the old one had no upstream.
   void recordNewVersion(const ServiceName &service, bool byShare);
@@ -56,6 +60,8 @@
   std::map<std::string, Latency> Latencies;
   std::map<Refusal, std::uint64_t> GateRefusals;
   std::map<std::pair<std::string, bool>, std::uint64_t> NewVersion; ///< By service and byShare.
+  std::map<std::string, std::uint64_t> Callers;                     ///< By service.
+  std::map<HeartbeatResult, std::uint64_t> Heartbeats;
   std::uint64_t Retries = 0;
   std::uint64_t LimitRefusals = 0;
   double UpstreamLimit = 0;
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -313,10 +313,28 @@
   Settings.RetrySlack = message.RetrySlack;
   AnnouncedUpstream.setHeartbeatTimeout(message.HeartbeatTimeout);
   Ingress->updateRetryBudgets();
+  Settings.LocalService = message.LocalService;
   if (Caller.applySettings(message.LocalService))
     recordCallerChange("settings");
 }
 
+void TrafficTask::recordProcessChange(const std::optional<Announcement> &before,
+                                      const Announcement &heartbeat) {
+  const auto sameProcess = [&heartbeat](const std::optional<Announcement> &it) {
+    return it.has_value() && it->ID == heartbeat.ID && it->ProcessStart == heartbeat.ProcessStart;
+  };
+  const std::pair<UpstreamID, TimeMs> process{heartbeat.ID, heartbeat.ProcessStart};
+  if (sameProcess(before) || std::exchange(LastForeignProcess, process) == process)
+    return;
+  const bool believed = sameProcess(AnnouncedUpstream.current());
+  const std::string other = before.has_value() ? describe(*before) : "none";
+  Control.put(TrafficTimelineEvent{
+      "host", Settings.Host.str(),
+      absl::StrCat("heartbeat of another process: ", describe(heartbeat),
+                   believed ? "; it replaces " : "; not believed against ", other,
+                   "; the settings name ", Settings.LocalService.str())});
+}
+
 void TrafficTask::recordCallerChange(const std::string &source) {
   Control.put(TrafficTimelineEvent{
       "host", Settings.Host.str(),
@@ -377,7 +395,11 @@
 }
 
 ManagementResponse TrafficTask::handleManagement(const Announcement &announcement) {
-  if (AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs()) == HeartbeatResult::Changed)
+  const std::optional<Announcement> before = AnnouncedUpstream.current();
+  const HeartbeatResult result = AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs());
+  Stats.recordHeartbeat(result);
+  recordProcessChange(before, announcement);
+  if (result == HeartbeatResult::Changed)
     applyAnnouncement();
   awaitDepartures();
   return acknowledge(AnnouncedUpstream.departure());
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -82,6 +82,10 @@
   /// Announces the upstream once the departures of before a restart are known as far as it needs.
   void awaitDepartures();
   void recordCallerChange(const std::string &source);
+  /// Writes to the time line that a process other than the current upstream sends heartbeats, and
+  /// whether it is believed. Repeated only if a third process was heard in between.
+  void recordProcessChange(const std::optional<Announcement> &before,
+                           const Announcement &heartbeat);
   /// Has a departure recorded.
   /// @returns its number; 0 if it is recorded already, or needs no record.
   std::uint64_t recordDeparture(const UpstreamDeparture &departure);
@@ -103,6 +107,8 @@
   ControlMailbox &Control;
   UpstreamTracker AnnouncedUpstream;
   CallerService Caller;
+  /// Process other than the current upstream that was heard last.
+  std::optional<std::pair<UpstreamID, TimeMs>> LastForeignProcess;
   EventBasePtr Base;
   int WakeFd = -1; ///< Readable when the inbox has messages.
   EventPtr WakeEvent;
