Follow a settings file that changes without a signal

Callers saw: requests that name the service which the settings no longer name, and other settings of before, until the next SIGHUP or restart.

Cause: the file was read at the start and at SIGHUP only, while the platform says that it may also change without any signal.

The thread that waits for signals compares the file's bytes once a second and reloads it when they differ. A file that is read half written is so read again when it is complete; one that can't be read is left alone.

--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -180,6 +180,30 @@
                            << absl::StrJoin(needRestart, ", "));
 }
 
+/// Period at which the settings file is checked for changes, which may come without a signal.
+constexpr timespec SettingsCheckPeriod = {1, 0};
+
+/// Reloads the settings at SIGHUP and when their file has changed, until the process is to end.
+/// @param signals SIGHUP and the signals that end the process; blocked.
+void followSettings(const ParsedSettings &start, const sigset_t &signals, TrafficMailbox &traffic,
+                    int argc, char **argv) {
+  Settings applied = start.Values;
+  std::optional<std::string> text = settingsFileText(start.FilePath);
+  while (true) {
+    const int signal = start.FilePath.empty()
+                           ? sigwaitinfo(&signals, nullptr)
+                           : sigtimedwait(&signals, nullptr, &SettingsCheckPeriod);
+    if (signal == SIGTERM || signal == SIGINT)
+      return;
+    std::optional<std::string> latest = settingsFileText(start.FilePath);
+    const bool changed = latest.has_value() && latest != text;
+    if (changed)
+      text = std::move(latest);
+    if (changed || signal == SIGHUP)
+      reloadSettings(applied, traffic, argc, argv);
+  }
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -214,10 +238,7 @@
   }
   std::thread trafficThread([&traffic] { traffic.run(); });
   std::thread signalThread([&] {
-    Settings applied = values;
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
-      reloadSettings(applied, toTraffic, argc, argv);
+    followSettings(parsed, signals, toTraffic, argc, argv);
     toControl.put(DrainRequested{"signal"});
   });
   ControlSettings controlSetup = controlSettings(values, incarnation);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -106,6 +106,13 @@
 
 } // namespace
 
+std::optional<std::string> settingsFileText(const std::string &path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file)
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
 std::variant<ParsedSettings, int> settingsAtStart(const std::string &program,
                                                   const std::string &about,
                                                   const std::vector<SettingRow> &table, int argc,
@@ -180,6 +187,7 @@
         path.empty() && variable != nullptr)
       path = variable;
     std::map<std::string, std::string> file;
+    parsed.FilePath = path;
     if (!path.empty()) {
       auto read = parseSettingsFile(path, table);
       if (!read.ok())
--- a/src/settings.h
+++ b/src/settings.h
@@ -4,6 +4,7 @@
 #include <absl/status/statusor.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,7 @@
 struct ParsedSettings {
   Settings Values;
   std::vector<std::string> Arguments; ///< Positional arguments.
+  std::string FilePath;               ///< Settings file that was read; empty: none.
   /// Help, version or settings to print, after which the program exits; empty: it runs.
   std::string Message;
 };
@@ -58,6 +60,9 @@
                                              const std::vector<SettingRow> &table, int argc,
                                              const char *const *argv);
 
+/// @returns the bytes of a settings file; nullopt if it can't be read.
+std::optional<std::string> settingsFileText(const std::string &path);
+
 /// Parses the settings at program start. Prints help, version, settings or an error if the program
 /// has to exit instead of running.
 /// @returns the settings, or the exit code.
--- a/tests/upstream_changes.sh
+++ b/tests/upstream_changes.sh
@@ -71,6 +71,10 @@
 echo "local-service = second" >"$OUT/settings2"
 kill -HUP "$NODE_PID_2"
 check "requests name the service of the reloaded settings" eventually names_caller second
+echo "local-service = third" >"$OUT/settings2"
+check "a settings file that changes without a signal takes effect" eventually names_caller third
+echo "local-service = second" >"$OUT/settings2"
+check "and again" eventually names_caller second
 echo "stop-time = many" >"$OUT/settings2"
 kill -HUP "$NODE_PID_2"
 check "a broken settings file is refused by file and field" eventually grep -q "nothing changed: .*settings2.*stop-time" "$OUT/node2.log"
