Let the settings name the service of a host's callers

Cause: settings and heartbeats both state the service, and the last one to speak won. At a start any heartbeat was news, also one that a partition had held up since another server had the address; beside a living node it was enough that the sender's clock was ahead.

Ruled out: the caller's own header (the case forges it, it is removed); a retry or a queued request (the service is kept from the arrival on).

The settings are the one source that the platform keeps current, with or without a signal; they decide. Heartbeats count while the settings name no service.

--- a/src/traffic/caller_service.h
+++ b/src/traffic/caller_service.h
@@ -3,49 +3,38 @@
 
 #include "ids_type.h"
 
-#include <string>
-
 namespace jasmineloom {
 
-/// Service that runs on this host. The settings and the upstream's heartbeats both name it, and
-/// either may be late after the host has been given another service. A statement that repeats what
-/// its source has said before is no news; of two different ones the later is right.
+/// Service that runs on this host. The settings decide, as they are kept current; a heartbeat may
+/// be one of an earlier upstream at the address. Heartbeats count only while the settings name
+/// none.
 class CallerService {
 public:
   /// @param configured service named in the settings; may be empty.
-  explicit CallerService(ServiceName configured) : Configured(configured), Current(configured) {}
+  explicit CallerService(ServiceName configured) : Configured(std::move(configured)) {}
 
   /// Applies the settings after a reload.
   /// @returns whether the service changed.
   bool applySettings(const ServiceName &configured) {
-    const bool isNews = configured != Configured;
+    const ServiceName before = current();
     Configured = configured;
-    return isNews && change(configured);
+    return current() != before;
   }
 
   /// Applies an accepted heartbeat.
-  /// @param process name of the upstream's process; empty if it has no ID.
   /// @returns whether the service changed.
-  bool applyHeartbeat(const std::string &process, const ServiceName &service) {
-    const bool isNews = process != Process || service != Announced;
-    Process = process;
-    Announced = service;
-    return isNews && change(service);
+  bool applyHeartbeat(const ServiceName &announced) {
+    const ServiceName before = current();
+    Announced = announced;
+    return current() != before;
   }
 
-  const ServiceName &current() const { return Current; }
+  /// @returns the service; empty before the first heartbeat if the settings name none.
+  const ServiceName &current() const { return Configured.empty() ? Announced : Configured; }
 
 private:
-  bool change(const ServiceName &service) {
-    const bool changed = service != Current;
-    Current = service;
-    return changed;
-  }
-
   ServiceName Configured;
-  std::string Process;   ///< Process of the last heartbeat.
-  ServiceName Announced; ///< Service in the last heartbeat.
-  ServiceName Current;
+  ServiceName Announced; ///< Service in the last accepted heartbeat.
 };
 
 } // namespace jasmineloom
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -432,7 +432,7 @@
   const Announcement &current = *AnnouncedUpstream.current();
   const LocalUpstream upstream{current.Service, current.Version, current.Slots, current.ID.str(),
                                current.ProcessStart};
-  if (Caller.applyHeartbeat(processOf(upstream), upstream.Service))
+  if (Caller.applyHeartbeat(upstream.Service))
     recordCallerChange("heartbeat");
   const bool draining = !AnnouncedUpstream.acceptsWork() || GateClosed;
   LocalGate->setUpstream(upstream, current.Address, draining, current.WarmUpLeft);
