Keep the upstream that beats, whatever the clocks say of another one

Callers saw: no answer of a living server, or requests run nowhere, for as long as its node lived; its heartbeats got 200 and counted as stale.

Cause: which of two processes has the address was decided by the later start alone, and the starts come from clocks of different machines. A held-up heartbeat of an earlier server, whose clock was 1.5 s ahead, took the place of the living one, and nothing ever led back.

Why it works: one process has the address. A process that beats is not replaced; a silent one is replaced by a later one at once, as before, or by any process that goes on beating with a rising sequence, which a held-up heartbeat does not. Where the settings name the service of only one of them, it is that one. So a wrong belief ends within a few heartbeats, with or without settings. A process that has departed stays out after it was replaced: its departure is kept, since the start no longer excludes it.

--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -74,9 +74,6 @@
   return std::hash<std::string>()(host) ^ incarnation;
 }
 
-/// Heartbeat intervals without a heartbeat after which the upstream gets no new requests.
-constexpr DurationMs MaxMissedHeartbeats = 4;
-
 DurationMs milliseconds(const Settings &values, const std::string &name) {
   return static_cast<DurationMs>(values.number(name));
 }
@@ -88,7 +85,7 @@
 ApplySettings reloadableSettings(const Settings &values) {
   ApplySettings settings;
   settings.LocalService = ServiceName(values.text("local-service"));
-  settings.HeartbeatTimeout = MaxMissedHeartbeats * milliseconds(values, "heartbeat-interval");
+  settings.HeartbeatInterval = milliseconds(values, "heartbeat-interval");
   settings.StopTime = milliseconds(values, "stop-time") * MsPerSecond;
   settings.RetrySlack = static_cast<double>(values.number("retry-slack"));
   return settings;
@@ -114,7 +111,7 @@
         absl::StrCat(traffic.GateIP, ":", values.number("management-port"))};
   const ApplySettings reloadable = reloadableSettings(values);
   traffic.LocalService = reloadable.LocalService;
-  traffic.HeartbeatTimeout = reloadable.HeartbeatTimeout;
+  traffic.HeartbeatInterval = reloadable.HeartbeatInterval;
   traffic.StopTime = reloadable.StopTime;
   traffic.RetrySlack = reloadable.RetrySlack;
   traffic.StoreAddress = values.text("store");
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -68,7 +68,7 @@
 /// Settings that take effect while the process runs.
 struct ApplySettings {
   ServiceName LocalService;
-  DurationMs HeartbeatTimeout = 0;
+  DurationMs HeartbeatInterval = 0;
   DurationMs StopTime = 0;
   double RetrySlack = 0;
 };
--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
+
 namespace jasmineloom {
 
 std::string_view nameOf(HeartbeatResult result) {
@@ -15,6 +17,8 @@
     return "renewed";
   case HeartbeatResult::Stale:
     return "stale";
+  case HeartbeatResult::Unproved:
+    return "unproved";
   }
   return "";
 }
@@ -64,31 +68,66 @@
          announcement.Sequence <= it->second.Departure.Sequence;
 }
 
-bool UpstreamTracker::isStale(const Announcement &announcement, TimeMs now) const {
-  if (hasTombstone(announcement, now))
+bool UpstreamTracker::isOfCurrentProcess(const Announcement &announcement) const {
+  return Current.has_value() && announcement.ID == Current->ID &&
+         announcement.ProcessStart == Current->ProcessStart;
+}
+
+bool UpstreamTracker::hasConfiguredService(const Announcement &announcement) const {
+  return ConfiguredService.empty() || announcement.Service == ConfiguredService;
+}
+
+bool UpstreamTracker::isCurrentSilent(TimeMs now) const {
+  const bool ended = Current->Draining || Withdrawn || Leaving || TimedOut;
+  return ended || now >= LastHeartbeatAt + HeartbeatInterval + HeartbeatInterval / 2;
+}
+
+bool UpstreamTracker::replacesCurrent(const Announcement &announcement, bool beats,
+                                      TimeMs now) const {
+  const bool fits = hasConfiguredService(announcement);
+  const bool currentFits = hasConfiguredService(*Current);
+  if (fits && !currentFits)
     return true;
-  if (!Current.has_value())
-    return false;
-  if (announcement.ProcessStart != Current->ProcessStart)
-    return announcement.ProcessStart != 0 && announcement.ProcessStart < Current->ProcessStart;
-  if (announcement.ID != Current->ID)
+  const bool startedLater =
+      announcement.ProcessStart == 0 || announcement.ProcessStart >= Current->ProcessStart;
+  const bool isExpected = startedLater && (fits || !currentFits);
+  return isCurrentSilent(now) && (isExpected || beats);
+}
+
+bool UpstreamTracker::trackRival(const Announcement &announcement, TimeMs now) {
+  const bool isKnown = LatestRival.has_value() && announcement.ID == LatestRival->ID &&
+                       announcement.ProcessStart == LatestRival->ProcessStart;
+  if (!isKnown) {
+    LatestRival = {announcement.ID, announcement.ProcessStart, announcement.Sequence, now};
     return false;
-  if (Withdrawn)
-    return true;
-  return announcement.Sequence != 0 && announcement.Sequence <= Current->Sequence;
+  }
+  const bool rises = announcement.Sequence == 0 || announcement.Sequence > LatestRival->Sequence;
+  LatestRival->Sequence = std::max(LatestRival->Sequence, announcement.Sequence);
+  return rises && now >= LatestRival->FirstAt + HeartbeatInterval / 2;
 }
 
 HeartbeatResult UpstreamTracker::applyHeartbeat(const Announcement &announcement, TimeMs now) {
-  if (isStale(announcement, now))
+  if (hasTombstone(announcement, now))
     return HeartbeatResult::Stale;
+  const bool sameProcess = isOfCurrentProcess(announcement);
+  const bool isOld = Withdrawn || (announcement.Sequence != 0 && Current.has_value() &&
+                                   announcement.Sequence <= Current->Sequence);
+  if (sameProcess && isOld)
+    return HeartbeatResult::Stale;
+  if (Current.has_value() && !sameProcess) {
+    const bool beats = trackRival(announcement, now);
+    if (!replacesCurrent(announcement, beats, now))
+      return HeartbeatResult::Unproved;
+    if (const std::optional<UpstreamDeparture> departed = departure(); departed.has_value())
+      Tombstones[Current->ID] = {now, *departed};
+  }
+  LatestRival.reset();
   Announcement known = Current.value_or(Announcement{});
   known.Sequence = announcement.Sequence;
   known.WarmUpLeft = announcement.WarmUpLeft;
   const bool changed = !Current.has_value() || Withdrawn || TimedOut || known != announcement;
   // An upstream without an identity may have been replaced while it was silent.
-  const bool sameProcess = Current.has_value() && !TimedOut && announcement.ID == Current->ID &&
-                           announcement.ProcessStart == Current->ProcessStart;
-  Leaving &= sameProcess;
+  Leaving &= sameProcess && !TimedOut;
   Current = announcement;
   LastHeartbeatAt = now;
   Withdrawn = false;
@@ -114,7 +153,7 @@
 }
 
 bool UpstreamTracker::checkTimeout(TimeMs now) {
-  if (!acceptsWork() || now < LastHeartbeatAt + HeartbeatTimeout)
+  if (!acceptsWork() || now < LastHeartbeatAt + MaxMissedHeartbeats * HeartbeatInterval)
     return false;
   TimedOut = true;
   return true;
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -49,24 +49,34 @@
   Changed, ///< The state of the upstream changed.
   Renewed, ///< The state stayed the same; the timeout was extended.
   Stale,   ///< Older than the current state; ignored.
+  /// Of another process, which has not been shown to be the one at the address; ignored.
+  Unproved,
 };
 /// @returns the name used in metrics.
 std::string_view nameOf(HeartbeatResult result);
 /// @returns the process, its service and its sequence, for logs.
 std::string describe(const Announcement &announcement);
 
+/// Heartbeat intervals without a heartbeat after which the upstream gets no new requests.
+constexpr DurationMs MaxMissedHeartbeats = 4;
+
 /// Time for which the tombstone of an upstream is kept: its last heartbeats may be seconds late.
 constexpr DurationMs TombstoneTime = 30 * MsPerSecond;
 
 /// State of the local upstream, derived from its heartbeats. Heartbeats may be delayed, duplicated
 /// or reordered, and may arrive after their sender has ended and another process uses its address.
+///
+/// One process has the address at a time. Another one is believed instead if it alone has the
+/// service that the settings name, or once the current one is silent and the other has started
+/// later or goes on beating. Starts are told by the clocks of different hosts, so that they alone
+/// neither replace a process that beats nor shut one out.
 class UpstreamTracker {
 public:
-  /// @param heartbeatTimeout time without a heartbeat after which the upstream gets no new
-  /// requests.
-  explicit UpstreamTracker(DurationMs heartbeatTimeout) : HeartbeatTimeout(heartbeatTimeout) {}
+  explicit UpstreamTracker(DurationMs heartbeatInterval) : HeartbeatInterval(heartbeatInterval) {}
 
-  void setHeartbeatTimeout(DurationMs timeout) { HeartbeatTimeout = timeout; }
+  void setHeartbeatInterval(DurationMs interval) { HeartbeatInterval = interval; }
+  /// @param service service that the settings name; may be empty.
+  void setConfiguredService(ServiceName service) { ConfiguredService = std::move(service); }
   /// Accepts no work until endWait(): this node may have acknowledged departures before a restart.
   void awaitDepartures() { Restored = false; }
   void endWait() { Restored = true; }
@@ -98,17 +108,34 @@
   bool hasLeft() const { return Withdrawn || TimedOut; }
 
 private:
+  /// A process other than the current one, heard since the last heartbeat of the current one.
+  struct Rival {
+    UpstreamID ID;
+    TimeMs ProcessStart = 0;
+    std::uint64_t Sequence = 0; ///< Highest so far.
+    TimeMs FirstAt = 0;         ///< Steady clock.
+  };
   /// Record of an upstream that departed while it was not the current one.
   struct Tombstone {
     TimeMs At = 0; ///< Steady clock.
     UpstreamDeparture Departure;
   };
 
-  bool isStale(const Announcement &announcement, TimeMs now) const;
+  bool isOfCurrentProcess(const Announcement &announcement) const;
+  bool hasConfiguredService(const Announcement &announcement) const;
+  /// @returns whether the current process no longer accepts work or misses a heartbeat.
+  bool isCurrentSilent(TimeMs now) const;
+  /// @returns whether another process is to be believed instead of the current one.
+  bool replacesCurrent(const Announcement &announcement, bool beats, TimeMs now) const;
+  /// Follows the heartbeats of another process.
+  /// @returns whether it goes on beating, which a held-up heartbeat does not.
+  bool trackRival(const Announcement &announcement, TimeMs now);
   bool hasTombstone(const Announcement &announcement, TimeMs now) const;
 
-  DurationMs HeartbeatTimeout;
+  DurationMs HeartbeatInterval;
+  ServiceName ConfiguredService;
   std::optional<Announcement> Current;
+  std::optional<Rival> LatestRival;
   std::map<UpstreamID, Tombstone> Tombstones;
   TimeMs LastHeartbeatAt = 0;
   bool Withdrawn = false;
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -30,7 +30,7 @@
   /// Departures of the upstream are recorded by the control task and restored after a start.
   bool RecordsDepartures = false;
   HttpHeaderNames Http;
-  DurationMs HeartbeatTimeout = 0; ///< An upstream silent for this long gets no new requests.
+  DurationMs HeartbeatInterval = 0; ///< Of the upstream.
   DurationMs StopTime = 0; ///< Time limit for a drain, from its start to the end of the process.
   /// Retries that all nodes together may send to a service beyond the budgeted share of requests.
   double RetrySlack = 0;
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -47,7 +47,7 @@
 TrafficTask::TrafficTask(TrafficSettings settings, const Environment &environment,
                          TrafficMailbox &inbox, ControlMailbox &control)
     : Settings(std::move(settings)), Env(environment), Inbox(inbox), Control(control),
-      AnnouncedUpstream(Settings.HeartbeatTimeout), Caller(Settings.LocalService),
+      AnnouncedUpstream(Settings.HeartbeatInterval), Caller(Settings.LocalService),
       Base(makeTrafficBase()), WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
       Pool(Base.get(), Settings.MaxBody), StorePool(Base.get(), MaxStoreResponseBytes),
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
@@ -55,6 +55,7 @@
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
       ResponseTimer(Base.get(), [this] { releaseResponses(0, steadyClockMs()); }) {
   StartedAt = wallClockMs();
+  AnnouncedUpstream.setConfiguredService(Settings.LocalService);
   if (Settings.RecordsDepartures)
     AnnouncedUpstream.awaitDepartures();
   const auto wake = [](evutil_socket_t fd, short, void *arg) {
@@ -308,10 +309,11 @@
 }
 
 void TrafficTask::handle(ApplySettings &message) {
-  Settings.HeartbeatTimeout = message.HeartbeatTimeout;
+  Settings.HeartbeatInterval = message.HeartbeatInterval;
   Settings.StopTime = message.StopTime;
   Settings.RetrySlack = message.RetrySlack;
-  AnnouncedUpstream.setHeartbeatTimeout(message.HeartbeatTimeout);
+  AnnouncedUpstream.setHeartbeatInterval(message.HeartbeatInterval);
+  AnnouncedUpstream.setConfiguredService(message.LocalService);
   Ingress->updateRetryBudgets();
   Settings.LocalService = message.LocalService;
   if (Caller.applySettings(message.LocalService))
