Take what another process at the address answers as its own statement only

Callers would see: a new upstream that gets no work, or hardly any, because the process that it replaced answered a request for it with 421 and stated that it leaves or has a limit; and a successor kept out one heartbeat longer than needed.

Cause: the fields of a 421 were applied to the process that the request named, while a 421 says that another one answers. The statement of one source was taken for that of another.

A 421, or a port that refuses connections after a cut response, now marks the current process as absent until its next heartbeat, so that a later one is believed at its first heartbeat; the limit and the leaving in a 421 are ignored.

Shown: refusal_by_another_process_... of traffic_task_test fails without the change to applyUpstreamState (the limit and the leaving are passed on) and passes with it; a case of announcement_test for the tracker.

--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -78,7 +78,7 @@
 }
 
 bool UpstreamTracker::isCurrentSilent(TimeMs now) const {
-  const bool ended = Current->Draining || Withdrawn || Leaving || TimedOut;
+  const bool ended = Current->Draining || Withdrawn || Leaving || TimedOut || Absent;
   return ended || now >= LastHeartbeatAt + HeartbeatInterval + HeartbeatInterval / 2;
 }
 
@@ -132,6 +132,7 @@
   LastHeartbeatAt = now;
   Withdrawn = false;
   TimedOut = false;
+  Absent = false;
   return changed ? HeartbeatResult::Changed : HeartbeatResult::Renewed;
 }
 
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -96,6 +96,9 @@
   /// that it is ready. Ends with its process.
   /// @returns whether it accepted new requests until now.
   bool markLeaving();
+  /// Another process, or none, answers at the address. Until its next heartbeat the current process
+  /// counts as silent.
+  void markAbsent() { Absent = true; }
   /// Checks the heartbeat timeout.
   /// @returns true once for each timeout.
   bool checkTimeout(TimeMs now);
@@ -123,7 +126,7 @@
 
   bool isOfCurrentProcess(const Announcement &announcement) const;
   bool hasConfiguredService(const Announcement &announcement) const;
-  /// @returns whether the current process no longer accepts work or misses a heartbeat.
+  /// @returns whether the current process no longer accepts work, is absent or misses a heartbeat.
   bool isCurrentSilent(TimeMs now) const;
   /// @returns whether another process is to be believed instead of the current one.
   bool replacesCurrent(const Announcement &announcement, bool beats, TimeMs now) const;
@@ -141,6 +144,7 @@
   bool Withdrawn = false;
   bool Leaving = false; ///< Stated in responses of the current process.
   bool TimedOut = false;
+  bool Absent = false;
   bool Restored = true;
 };
 
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -554,6 +554,12 @@
   // A late response of an earlier process says nothing about the present one.
   if (!isForPresentProcess(context))
     return;
+  // Its limit and its leaving are not those of the upstream.
+  if (isFromOtherProcess(Settings.Http, result, kind)) {
+    if (AbsentHandler)
+      AbsentHandler();
+    return;
+  }
   if (AdmissionControl.applyLimit(limitStatementOf(Settings.Http, result, kind), steadyClockMs()))
     recordLimitChange();
   if (!statesLeaving(Settings.Http, result, kind))
@@ -638,6 +644,8 @@
 }
 
 void GateTask::reportCrash() {
+  if (AbsentHandler)
+    AbsentHandler();
   const TimeMs now = steadyClockMs();
   for (const std::uint64_t fingerprint : AdmissionControl.crashSuspects(CutFingerprints, now)) {
     AdmissionControl.crashes().recordCrash(fingerprint, now);
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -56,6 +56,9 @@
   void setView(RoutingViewPtr view);
   /// @param handler invoked when a response states that the upstream leaves.
   void setLeavingHandler(std::function<void()> handler) { LeavingHandler = std::move(handler); }
+  /// @param handler invoked when the upstream is not the process at its address any more: another
+  /// one refuses a request for it, or its port refuses connections.
+  void setAbsentHandler(std::function<void()> handler) { AbsentHandler = std::move(handler); }
   /// Applies the announcement of the local upstream.
   /// @param address IP:port of the upstream.
   /// @param warmUpLeft remaining warm-up time of the upstream.
@@ -143,6 +146,7 @@
   Timer ReplacementTimer;
   std::uint32_t CrashChecks = 0; ///< Since the first of CutFingerprints was recorded.
   std::function<void()> LeavingHandler;
+  std::function<void()> AbsentHandler;
   std::string LeavingProcess; ///< Process whose responses stated that it leaves.
   double LoggedLimit = 0;     ///< Limit in the last event of the time line; 0: none.
   RequestLog Log;
--- a/src/traffic/response_check.cpp
+++ b/src/traffic/response_check.cpp
@@ -40,6 +40,12 @@
   return success && !authentic ? ResponseKind::Invalid : ResponseKind::Valid;
 }
 
+bool isFromOtherProcess(const HttpHeaderNames &headerNames, const HttpResult &result,
+                        ResponseKind kind) {
+  return kind == ResponseKind::NotRun && !headerNames.Upstream.empty() &&
+         result.Status == StatusMisdirected;
+}
+
 LimitStatement limitStatementOf(const HttpHeaderNames &headerNames, const HttpResult &result,
                                 ResponseKind kind) {
   if (headerNames.Limit.empty() || kind == ResponseKind::Invalid)
--- a/src/traffic/response_check.h
+++ b/src/traffic/response_check.h
@@ -41,6 +41,12 @@
 LimitStatement limitStatementOf(const HttpHeaderNames &headerNames, const HttpResult &result,
                                 ResponseKind kind);
 
+/// @returns whether a response refuses a request because it names another process than the one that
+/// answers.
+/// @param kind result of classifyResponse().
+bool isFromOtherProcess(const HttpHeaderNames &headerNames, const HttpResult &result,
+                        ResponseKind kind);
+
 /// @returns whether a response states that its upstream leaves.
 /// @param kind result of classifyResponse().
 bool statesLeaving(const HttpHeaderNames &headerNames, const HttpResult &result, ResponseKind kind);
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -71,6 +71,7 @@
   });
   LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Stats, Control);
   LocalGate->setLeavingHandler([this] { handleLeaving(); });
+  LocalGate->setAbsentHandler([this] { AnnouncedUpstream.markAbsent(); });
   Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Stats);
   ManagementServer.reset(evhttp_new(Base.get()));
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -267,3 +267,20 @@
                 HeartbeatResult::Stale));
   BOOST_TEST(tracker.current()->ID.str() == "i-2");
 }
+
+// Guards against a successor that is kept out although its predecessor is known to be gone.
+BOOST_AUTO_TEST_CASE(process_that_the_address_denies_is_replaced_without_waiting) {
+  UpstreamTracker tracker(HeartbeatInterval);
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+  BOOST_TEST(
+      (tracker.applyHeartbeat(heartbeat("i-2", 20, 1), Now + 100) == HeartbeatResult::Unproved));
+  tracker.markAbsent();
+  BOOST_TEST(tracker.acceptsWork());
+  BOOST_TEST(
+      (tracker.applyHeartbeat(heartbeat("i-2", 20, 2), Now + 200) == HeartbeatResult::Changed));
+  // Its own heartbeat proves that it is there.
+  tracker.markAbsent();
+  tracker.applyHeartbeat(heartbeat("i-2", 20, 3), Now + 300);
+  BOOST_TEST(
+      (tracker.applyHeartbeat(heartbeat("i-3", 30, 1), Now + 400) == HeartbeatResult::Unproved));
+}
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -382,3 +382,30 @@
     close(gate);
   }
 }
+
+// Guards against the leaving of an earlier server that is taken for that of its successor.
+BOOST_AUTO_TEST_CASE(refusal_by_another_process_tells_that_it_is_there_and_nothing_more) {
+  PlatformTask task;
+  task.Inbox.put(PublishView{viewOfOneGate()});
+  const int upstream = listenOn(UpstreamPort);
+  sendHeartbeat("i-1", "s", 10);
+  const int request = sendToGate("/1", "s", 2000);
+  BOOST_REQUIRE(isConnected(upstream, 2000));
+  const int connection = accept(upstream, nullptr, nullptr);
+  readHead(connection);
+  sendText(connection, "HTTP/1.1 421 x\r\nRequest-Id: /1\r\nServer-Leaving: 1\r\n"
+                       "Server-Limit: 1\r\nContent-Length: 0\r\n\r\n");
+  const std::string refusal = readHead(request);
+  BOOST_TEST(refusal.find("x-jasmine-outcome: not-run") != std::string::npos, refusal);
+  BOOST_TEST(refusal.find(header::Leaving) == std::string::npos, refusal);
+  BOOST_TEST(refusal.find(header::Limit) == std::string::npos, refusal);
+  // The other process is believed at its first heartbeat.
+  sendHeartbeat("i-2", "t", 20);
+  const int next = sendToGate("/2", "t", 2000);
+  BOOST_REQUIRE(isConnected(upstream, 2000));
+  const int second = accept(upstream, nullptr, nullptr);
+  const std::string head = readHead(second);
+  BOOST_TEST(head.find("expected-instance: i-2\r\n") != std::string::npos, head);
+  for (const int fd : {request, connection, next, second, upstream})
+    close(fd);
+}
