Keep the drain of a process that is not believed yet

Callers would see: requests that reach a server after its node has acknowledged that it drains (DRAIN), if the node took another process for the current one at that moment. Found by reading the change of the tracker; not seen by a user.

Cause: a response to a heartbeat acknowledged the departure of the current process, whoever had sent the heartbeat. The drain of its sender was neither kept nor recorded, so late heartbeats from before it could bring it in.

The departure that a response acknowledges is the sender's; a draining process that is not believed gets a tombstone up to that heartbeat. The settings that are compared once a second are the bytes that were parsed, so that a change between the two is seen.

The new case of announcement_test fails without the tombstone, as the late heartbeats count as unproved and not as stale.

--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -185,17 +185,15 @@
 void followSettings(const ParsedSettings &start, const sigset_t &signals, TrafficMailbox &traffic,
                     int argc, char **argv) {
   Settings applied = start.Values;
-  std::optional<std::string> text = settingsFileText(start.FilePath);
+  std::string text = start.FileText;
   while (true) {
     const int signal = start.FilePath.empty()
                            ? sigwaitinfo(&signals, nullptr)
                            : sigtimedwait(&signals, nullptr, &SettingsCheckPeriod);
     if (signal == SIGTERM || signal == SIGINT)
       return;
-    std::optional<std::string> latest = settingsFileText(start.FilePath);
-    const bool changed = latest.has_value() && latest != text;
-    if (changed)
-      text = std::move(latest);
+    const std::string latest = settingsFileText(start.FilePath).value_or(text);
+    const bool changed = std::exchange(text, latest) != latest;
     if (changed || signal == SIGHUP)
       reloadSettings(applied, traffic, argc, argv);
   }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <sstream>
 
 namespace jasmineloom {
 
@@ -76,13 +77,12 @@
 constexpr const char *SettingsFileFlag = "settings-file";
 
 /// Parses a settings file.
-/// @returns InvalidArgument if the file cannot be opened or has an unknown setting.
+/// @param text bytes of the file.
+/// @returns InvalidArgument if the file has an unknown setting.
 absl::StatusOr<std::map<std::string, std::string>>
-parseSettingsFile(const std::string &path, const std::vector<SettingRow> &table) {
-  std::ifstream file(path);
-  if (!file)
-    return absl::InvalidArgumentError(
-        absl::StrCat("settings file \"", path, "\" cannot be opened"));
+parseSettingsFile(const std::string &path, const std::string &text,
+                  const std::vector<SettingRow> &table) {
+  std::istringstream file(text);
   std::map<std::string, std::string> values;
   std::optional<boost::program_options::parsed_options> parsed;
   try {
@@ -189,7 +189,12 @@
     std::map<std::string, std::string> file;
     parsed.FilePath = path;
     if (!path.empty()) {
-      auto read = parseSettingsFile(path, table);
+      std::optional<std::string> text = settingsFileText(path);
+      if (!text.has_value())
+        return absl::InvalidArgumentError(
+            absl::StrCat("settings file \"", path, "\" cannot be opened"));
+      parsed.FileText = *std::move(text);
+      auto read = parseSettingsFile(path, parsed.FileText, table);
       if (!read.ok())
         return read.status();
       file = *std::move(read);
--- a/src/settings.h
+++ b/src/settings.h
@@ -49,6 +49,7 @@
   Settings Values;
   std::vector<std::string> Arguments; ///< Positional arguments.
   std::string FilePath;               ///< Settings file that was read; empty: none.
+  std::string FileText;               ///< Bytes that were read from it.
   /// Help, version or settings to print, after which the program exits; empty: it runs.
   std::string Message;
 };
--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -61,6 +61,15 @@
   return departure;
 }
 
+std::optional<UpstreamDeparture>
+UpstreamTracker::departureOf(const Announcement &announcement) const {
+  if (isOfCurrentProcess(announcement))
+    return departure();
+  if (!announcement.Draining)
+    return std::nullopt;
+  return UpstreamDeparture{announcement.ID, announcement.ProcessStart + 1, announcement.Sequence};
+}
+
 bool UpstreamTracker::hasTombstone(const Announcement &announcement, TimeMs now) const {
   const auto it = Tombstones.find(announcement.ID);
   return it != Tombstones.end() && now < it->second.At + TombstoneTime &&
@@ -116,8 +125,11 @@
     return HeartbeatResult::Stale;
   if (Current.has_value() && !sameProcess) {
     const bool beats = trackRival(announcement, now);
-    if (!replacesCurrent(announcement, beats, now))
+    if (!replacesCurrent(announcement, beats, now)) {
+      if (const auto departed = departureOf(announcement); departed.has_value())
+        Tombstones[announcement.ID] = {now, *departed};
       return HeartbeatResult::Unproved;
+    }
     if (const std::optional<UpstreamDeparture> departed = departure(); departed.has_value())
       Tombstones[Current->ID] = {now, *departed};
   }
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -83,6 +83,9 @@
   /// Adds departures that were recorded before a restart of this node.
   void restore(const std::vector<UpstreamDeparture> &departures, TimeMs now);
   bool restored() const { return Restored; }
+  /// @returns the departure of the sender of a heartbeat, which the response to it acknowledges;
+  /// nullopt if it has not departed.
+  std::optional<UpstreamDeparture> departureOf(const Announcement &announcement) const;
   /// @returns the departure of the current upstream; nullopt if it has not departed.
   std::optional<UpstreamDeparture> departure() const;
 
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -405,7 +405,7 @@
   if (result == HeartbeatResult::Changed)
     applyAnnouncement();
   awaitDepartures();
-  return acknowledge(AnnouncedUpstream.departure());
+  return acknowledge(AnnouncedUpstream.departureOf(announcement));
 }
 
 ManagementResponse TrafficTask::handleManagement(const Withdrawal &withdrawal) {
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -284,3 +284,18 @@
   BOOST_TEST(
       (tracker.applyHeartbeat(heartbeat("i-3", 30, 1), Now + 400) == HeartbeatResult::Unproved));
 }
+
+// Guards against an acknowledged drain that is forgotten because another process was believed.
+BOOST_AUTO_TEST_CASE(drain_of_a_process_that_is_not_believed_yet_is_kept) {
+  UpstreamTracker tracker(HeartbeatInterval);
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+  const Announcement draining = heartbeat("i-2", 20, 7, true);
+  BOOST_TEST((tracker.applyHeartbeat(draining, Now + 100) == HeartbeatResult::Unproved));
+  BOOST_TEST((tracker.departureOf(draining) == UpstreamDeparture{UpstreamID("i-2"), 21, 7}));
+  BOOST_TEST(!tracker.departureOf(heartbeat("i-1", 10, 6)).has_value());
+  // Its heartbeats from before the drain arrive late, and the other process falls silent.
+  for (const std::uint64_t sequence : {5, 6})
+    BOOST_TEST((tracker.applyHeartbeat(heartbeat("i-2", 20, sequence), Now + sequence * 1000) ==
+                HeartbeatResult::Stale));
+  BOOST_TEST(tracker.current()->ID.str() == "i-1");
+}
