Believe a restarted or later upstream at its first heartbeat again

Callers would see: for up to three heartbeats after a quick restart under the same ID, requests for the version and the service of before that the new process runs, as Expected-Instance names the ID only; and, at a node that has just started, no work for a living upstream whose predecessor's held-up heartbeat arrived first.

A process that has been heard at two times, half an interval apart, is kept against other IDs as it was.

Evidence: the two new cases of announcement_test fail with 6 checks before this change (later process refused, version of before kept) and pass now; the orders with held-up heartbeats and clocks ahead pass unchanged.

Changed checks: process_that_the_address_denies_... and refusal_by_another_process_... let the first process beat twice, so that it is still only the refusal that lets its successor in; all their checks stay.

--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -82,16 +82,22 @@
   return ended || now >= LastHeartbeatAt + HeartbeatInterval + HeartbeatInterval / 2;
 }
 
+bool UpstreamTracker::hasCurrentBeaten() const {
+  return LastHeartbeatAt >= CurrentSince + HeartbeatInterval / 2;
+}
+
 bool UpstreamTracker::replacesCurrent(const Announcement &announcement, bool beats,
                                       TimeMs now) const {
   const bool fits = hasConfiguredService(announcement);
   const bool currentFits = hasConfiguredService(*Current);
-  if (fits && !currentFits)
-    return true;
   const bool startedLater =
       announcement.ProcessStart == 0 || announcement.ProcessStart >= Current->ProcessStart;
+  const bool hasSameID = announcement.ID == Current->ID;
+  if (hasSameID ? startedLater : fits && !currentFits)
+    return true;
   const bool isExpected = startedLater && (fits || !currentFits);
-  return isCurrentSilent(now) && (isExpected || beats);
+  const bool isSilent = isCurrentSilent(now);
+  return (isExpected && (isSilent || !hasCurrentBeaten())) || (isSilent && beats);
 }
 
 bool UpstreamTracker::trackRival(const Announcement &announcement, TimeMs now) {
@@ -128,6 +134,8 @@
   const bool changed = !Current.has_value() || Withdrawn || TimedOut || known != announcement;
   // An upstream without an identity may have been replaced while it was silent.
   Leaving &= sameProcess && !TimedOut;
+  if (!sameProcess)
+    CurrentSince = now;
   Current = announcement;
   LastHeartbeatAt = now;
   Withdrawn = false;
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -69,7 +69,8 @@
 /// One process has the address at a time. Another one is believed instead if it alone has the
 /// service that the settings name, or once the current one is silent and the other has started
 /// later or goes on beating. Starts are told by the clocks of different hosts, so that they alone
-/// neither replace a process that beats nor shut one out.
+/// neither replace a process that beats nor shut one out. They decide between a process that was
+/// heard at one time only and a later one, and between processes with one ID, which have one clock.
 class UpstreamTracker {
 public:
   explicit UpstreamTracker(DurationMs heartbeatInterval) : HeartbeatInterval(heartbeatInterval) {}
@@ -128,6 +129,8 @@
   bool hasConfiguredService(const Announcement &announcement) const;
   /// @returns whether the current process no longer accepts work, is absent or misses a heartbeat.
   bool isCurrentSilent(TimeMs now) const;
+  /// @returns whether the current process has gone on beating, which held-up heartbeats do not.
+  bool hasCurrentBeaten() const;
   /// @returns whether another process is to be believed instead of the current one.
   bool replacesCurrent(const Announcement &announcement, bool beats, TimeMs now) const;
   /// Follows the heartbeats of another process.
@@ -145,6 +148,7 @@
   bool Leaving = false; ///< Stated in responses of the current process.
   bool TimedOut = false;
   bool Absent = false;
+  TimeMs CurrentSince = 0; ///< Steady clock; first heartbeat of the current process.
   bool Restored = true;
 };
 
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -272,15 +272,49 @@
 BOOST_AUTO_TEST_CASE(process_that_the_address_denies_is_replaced_without_waiting) {
   UpstreamTracker tracker(HeartbeatInterval);
   tracker.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+  TimeMs now = Now + HeartbeatInterval;
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 6), now);
   BOOST_TEST(
-      (tracker.applyHeartbeat(heartbeat("i-2", 20, 1), Now + 100) == HeartbeatResult::Unproved));
+      (tracker.applyHeartbeat(heartbeat("i-2", 20, 1), now + 100) == HeartbeatResult::Unproved));
   tracker.markAbsent();
   BOOST_TEST(tracker.acceptsWork());
   BOOST_TEST(
-      (tracker.applyHeartbeat(heartbeat("i-2", 20, 2), Now + 200) == HeartbeatResult::Changed));
+      (tracker.applyHeartbeat(heartbeat("i-2", 20, 2), now + 200) == HeartbeatResult::Changed));
   // Its own heartbeat proves that it is there.
   tracker.markAbsent();
-  tracker.applyHeartbeat(heartbeat("i-2", 20, 3), Now + 300);
+  now += HeartbeatInterval;
+  tracker.applyHeartbeat(heartbeat("i-2", 20, 3), now + 200);
   BOOST_TEST(
-      (tracker.applyHeartbeat(heartbeat("i-3", 30, 1), Now + 400) == HeartbeatResult::Unproved));
+      (tracker.applyHeartbeat(heartbeat("i-3", 30, 1), now + 300) == HeartbeatResult::Unproved));
+}
+
+// Guards against requests for the version of before that a restarted process runs.
+BOOST_AUTO_TEST_CASE(restart_under_the_same_id_is_believed_at_its_first_heartbeat) {
+  UpstreamTracker tracker(HeartbeatInterval);
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 6), Now + 1500);
+  Announcement restarted = heartbeat("i-1", 20, 1);
+  restarted.Version = VersionLabel("v2");
+  // Also while the settings still name the service of before.
+  restarted.Service = ServiceName("t");
+  tracker.setConfiguredService(ServiceName("s"));
+  BOOST_TEST((tracker.applyHeartbeat(restarted, Now + 2100) == HeartbeatResult::Changed));
+  BOOST_TEST(tracker.current()->Version.str() == "v2");
+  // A held-up heartbeat of the process of before.
+  BOOST_TEST(
+      (tracker.applyHeartbeat(heartbeat("i-1", 10, 7), Now + 2200) == HeartbeatResult::Unproved));
+}
+
+// Guards against a living upstream that a restarted node keeps out because a held-up heartbeat of
+// its predecessor arrived first.
+BOOST_AUTO_TEST_CASE(later_process_replaces_one_that_has_not_been_heard_to_beat) {
+  UpstreamTracker tracker(HeartbeatInterval);
+  // Two held-up heartbeats that arrive together show no more than one.
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 6), Now + 10);
+  BOOST_TEST(
+      (tracker.applyHeartbeat(heartbeat("i-2", 20, 1), Now + 200) == HeartbeatResult::Changed));
+  BOOST_TEST(
+      (tracker.applyHeartbeat(heartbeat("i-1", 10, 7), Now + 300) == HeartbeatResult::Unproved));
+  BOOST_TEST(tracker.current()->ID.str() == "i-2");
 }
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -389,6 +389,8 @@
   task.Inbox.put(PublishView{viewOfOneGate()});
   const int upstream = listenOn(UpstreamPort);
   sendHeartbeat("i-1", "s", 10);
+  usleep(HeartbeatInterval / 2 * 1000);
+  sendHeartbeat("i-1", "s", 10, 2);
   const int request = sendToGate("/1", "s", 2000);
   BOOST_REQUIRE(isConnected(upstream, 2000));
   const int connection = accept(upstream, nullptr, nullptr);
