Keep an upstream that beats while its settings are late

Callers would see: no work for a living upstream for two to three heartbeats, and requests for the service of before that its predecessor's address refuses, after a held-up heartbeat of the predecessor. Found in review; not seen by a user.

Cause: a process that alone has the service named in the settings replaced any other one at once. The settings may be late: until they follow, they name the service of the server that is gone, and its held-up heartbeat took the place of one that goes on beating.

The settings now decide at once only against a process that has not gone on beating since they last changed, so that the server of a service that they have just been given is believed at its first heartbeat, as before.

Evidence: the new case of announcement_test fails with 2 checks before this change (the process of before is believed) and passes now.

--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -73,6 +73,13 @@
          announcement.ProcessStart == Current->ProcessStart;
 }
 
+void UpstreamTracker::setConfiguredService(const ServiceName &service) {
+  // Heartbeats from before the change do not tell who has the address now.
+  if (service != ConfiguredService)
+    CurrentSince.reset();
+  ConfiguredService = service;
+}
+
 bool UpstreamTracker::hasConfiguredService(const Announcement &announcement) const {
   return ConfiguredService.empty() || announcement.Service == ConfiguredService;
 }
@@ -83,7 +90,7 @@
 }
 
 bool UpstreamTracker::hasCurrentBeaten() const {
-  return LastHeartbeatAt >= CurrentSince + HeartbeatInterval / 2;
+  return CurrentSince.has_value() && LastHeartbeatAt >= *CurrentSince + HeartbeatInterval / 2;
 }
 
 bool UpstreamTracker::replacesCurrent(const Announcement &announcement, bool beats,
@@ -93,9 +100,9 @@
   const bool startedLater =
       announcement.ProcessStart == 0 || announcement.ProcessStart >= Current->ProcessStart;
   const bool hasSameID = announcement.ID == Current->ID;
-  if (hasSameID ? startedLater : fits && !currentFits)
+  if (hasSameID && startedLater)
     return true;
-  const bool isExpected = startedLater && (fits || !currentFits);
+  const bool isExpected = fits == currentFits ? startedLater : fits && (startedLater || !hasSameID);
   const bool isSilent = isCurrentSilent(now);
   return (isExpected && (isSilent || !hasCurrentBeaten())) || (isSilent && beats);
 }
@@ -134,7 +141,7 @@
   const bool changed = !Current.has_value() || Withdrawn || TimedOut || known != announcement;
   // An upstream without an identity may have been replaced while it was silent.
   Leaving &= sameProcess && !TimedOut;
-  if (!sameProcess)
+  if (!sameProcess || !CurrentSince.has_value())
     CurrentSince = now;
   Current = announcement;
   LastHeartbeatAt = now;
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -66,18 +66,19 @@
 /// State of the local upstream, derived from its heartbeats. Heartbeats may be delayed, duplicated
 /// or reordered, and may arrive after their sender has ended and another process uses its address.
 ///
-/// One process has the address at a time. Another one is believed instead if it alone has the
-/// service that the settings name, or once the current one is silent and the other has started
-/// later or goes on beating. Starts are told by the clocks of different hosts, so that they alone
-/// neither replace a process that beats nor shut one out. They decide between a process that was
-/// heard at one time only and a later one, and between processes with one ID, which have one clock.
+/// One process has the address at a time. Another one is believed instead once the current one is
+/// silent and the other has started later, alone has the service that the settings name, or goes on
+/// beating. Starts are told by the clocks of different hosts, and settings may be late, so that
+/// they alone neither replace a process that beats nor shut one out; they decide at once against
+/// a process that was heard at one time only. Processes with one ID have one clock: the later start
+/// decides between them.
 class UpstreamTracker {
 public:
   explicit UpstreamTracker(DurationMs heartbeatInterval) : HeartbeatInterval(heartbeatInterval) {}
 
   void setHeartbeatInterval(DurationMs interval) { HeartbeatInterval = interval; }
   /// @param service service that the settings name; may be empty.
-  void setConfiguredService(ServiceName service) { ConfiguredService = std::move(service); }
+  void setConfiguredService(const ServiceName &service);
   /// Accepts no work until endWait(): this node may have acknowledged departures before a restart.
   void awaitDepartures() { Restored = false; }
   void endWait() { Restored = true; }
@@ -148,7 +149,8 @@
   bool Leaving = false; ///< Stated in responses of the current process.
   bool TimedOut = false;
   bool Absent = false;
-  TimeMs CurrentSince = 0; ///< Steady clock; first heartbeat of the current process.
+  /// Steady clock; first heartbeat of the current process since the settings named their service.
+  std::optional<TimeMs> CurrentSince;
   bool Restored = true;
 };
 
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -318,3 +318,22 @@
       (tracker.applyHeartbeat(heartbeat("i-1", 10, 7), Now + 300) == HeartbeatResult::Unproved));
   BOOST_TEST(tracker.current()->ID.str() == "i-2");
 }
+
+// Guards against a living upstream that is replaced while its settings are late, by a held-up
+// heartbeat of the service that they still name.
+BOOST_AUTO_TEST_CASE(late_settings_do_not_replace_a_process_that_beats) {
+  const auto living = [](std::uint64_t sequence) {
+    return ofService("t", heartbeat("i-2", 20, sequence));
+  };
+  UpstreamTracker tracker(HeartbeatInterval);
+  tracker.setConfiguredService(ServiceName("s"));
+  tracker.applyHeartbeat(living(1), Now);
+  tracker.applyHeartbeat(living(2), Now + 1500);
+  const Announcement old = heartbeat("i-1", 10, 40);
+  BOOST_TEST((tracker.applyHeartbeat(old, Now + 1600) == HeartbeatResult::Unproved));
+  BOOST_TEST(tracker.current()->ID.str() == "i-2");
+  // Settings that change say that it is gone.
+  tracker.setConfiguredService(ServiceName("u"));
+  const Announcement next = ofService("u", heartbeat("i-3", 5, 1));
+  BOOST_TEST((tracker.applyHeartbeat(next, Now + 1700) == HeartbeatResult::Changed));
+}
