Let a process that beats long after its withdrawal serve again

Callers would see: no answer of a living upstream for as long as its node and itself live.

Cause: a withdrawal names an ID and no start. A process may start again under the ID that it had, and a withdrawal of the earlier one that was held up then took the later one out. From there on all of its heartbeats counted as stale.

A process that goes on beating with a rising sequence once the time for which its late heartbeats are kept out (TombstoneTime, 30 s) is over is believed again. An upstream that has left ends seconds after its withdrawal; a single heartbeat that was held up for 30 s does not bring it back.

Evidence: the new case of announcement_test fails with 3 checks before this change (stale for ever, no work) and passes now.

--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -48,7 +48,7 @@
     Tombstones[it.ID] = {now, it};
   // Its heartbeat may have arrived before the departures were known.
   if (Current.has_value() && hasTombstone(*Current, now))
-    Withdrawn = true;
+    markWithdrawn(now);
 }
 
 std::optional<UpstreamDeparture> UpstreamTracker::departure() const {
@@ -119,13 +119,17 @@
   return rises && now >= LatestRival->FirstAt + HeartbeatInterval / 2;
 }
 
+bool UpstreamTracker::contradictsWithdrawal(const Announcement &announcement, TimeMs now) {
+  return now >= WithdrawnAt + TombstoneTime && trackRival(announcement, now);
+}
+
 HeartbeatResult UpstreamTracker::applyHeartbeat(const Announcement &announcement, TimeMs now) {
   if (hasTombstone(announcement, now))
     return HeartbeatResult::Stale;
   const bool sameProcess = isOfCurrentProcess(announcement);
-  const bool isOld = Withdrawn || (announcement.Sequence != 0 && Current.has_value() &&
-                                   announcement.Sequence <= Current->Sequence);
-  if (sameProcess && isOld)
+  const bool isOld = announcement.Sequence != 0 && Current.has_value() &&
+                     announcement.Sequence <= Current->Sequence;
+  if (sameProcess && (isOld || (Withdrawn && !contradictsWithdrawal(announcement, now))))
     return HeartbeatResult::Stale;
   if (Current.has_value() && !sameProcess) {
     const bool beats = trackRival(announcement, now);
@@ -158,10 +162,15 @@
     Tombstones[id] = {now, {id, unixNow}};
     return false;
   }
-  Withdrawn = true;
+  markWithdrawn(now);
   return true;
 }
 
+void UpstreamTracker::markWithdrawn(TimeMs now) {
+  Withdrawn = true;
+  WithdrawnAt = now;
+}
+
 bool UpstreamTracker::markLeaving() {
   const bool accepted = acceptsWork();
   Leaving = true;
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -113,7 +113,8 @@
   bool hasLeft() const { return Withdrawn || TimedOut; }
 
 private:
-  /// A process other than the current one, heard since the last heartbeat of the current one.
+  /// A process other than the current one, or the current one after its withdrawal, heard since the
+  /// last heartbeat that was believed.
   struct Rival {
     UpstreamID ID;
     TimeMs ProcessStart = 0;
@@ -137,6 +138,10 @@
   /// Follows the heartbeats of another process.
   /// @returns whether it goes on beating, which a held-up heartbeat does not.
   bool trackRival(const Announcement &announcement, TimeMs now);
+  void markWithdrawn(TimeMs now);
+  /// @returns whether the current process still beats so long after its withdrawal that it was the
+  /// late one of an earlier process with its ID.
+  bool contradictsWithdrawal(const Announcement &announcement, TimeMs now);
   bool hasTombstone(const Announcement &announcement, TimeMs now) const;
 
   DurationMs HeartbeatInterval;
@@ -146,7 +151,8 @@
   std::map<UpstreamID, Tombstone> Tombstones;
   TimeMs LastHeartbeatAt = 0;
   bool Withdrawn = false;
-  bool Leaving = false; ///< Stated in responses of the current process.
+  TimeMs WithdrawnAt = 0; ///< Steady clock.
+  bool Leaving = false;   ///< Stated in responses of the current process.
   bool TimedOut = false;
   bool Absent = false;
   /// Steady clock; first heartbeat of the current process since the settings named their service.
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -337,3 +337,28 @@
   const Announcement next = ofService("u", heartbeat("i-3", 5, 1));
   BOOST_TEST((tracker.applyHeartbeat(next, Now + 1700) == HeartbeatResult::Changed));
 }
+
+// Guards against a living upstream that stays out for good because a held-up withdrawal of an
+// earlier process with its ID arrived.
+BOOST_AUTO_TEST_CASE(process_that_beats_long_after_its_withdrawal_is_back) {
+  UpstreamTracker tracker(HeartbeatInterval);
+  tracker.applyHeartbeat(heartbeat("i-1", 10, 5), Now);
+  tracker.withdraw(UpstreamID("i-1"), Now + 100, 30);
+  std::uint64_t sequence = 5;
+  DurationMs after = HeartbeatInterval;
+  for (; after < TombstoneTime; after += HeartbeatInterval) {
+    BOOST_TEST((tracker.applyHeartbeat(heartbeat("i-1", 10, ++sequence), Now + after) ==
+                HeartbeatResult::Stale));
+    BOOST_TEST(!tracker.acceptsWork());
+  }
+  // One heartbeat may have been held up for as long, and so may one that is received twice.
+  after += HeartbeatInterval;
+  for (const DurationMs later : {0, 1500})
+    BOOST_TEST((tracker.applyHeartbeat(heartbeat("i-1", 10, sequence + 1), Now + after + later) ==
+                HeartbeatResult::Stale));
+  after += 2 * HeartbeatInterval;
+  BOOST_TEST((tracker.applyHeartbeat(heartbeat("i-1", 10, sequence + 2), Now + after) ==
+              HeartbeatResult::Changed));
+  BOOST_TEST(tracker.acceptsWork());
+  BOOST_TEST(!tracker.departure().has_value());
+}
