Read a settings file that changes without a signal once it is complete

Found in review of the change that follows the file; not seen by a user.

Cause: a file that is emptied and written in place is short for a moment. The check that fell into it applied what was there: a name cut short, or, for an empty file, no service at all, and the defaults of all other settings. Also, a change between the parsing at the start and the first check was never noticed, as that check took the changed bytes for those in effect.

A change without a signal now counts once two checks, half a second apart, have found the same bytes, so that it still takes effect within a second. SIGHUP is followed at once, as before. The bytes in effect are read before the file is parsed.

A play of a process with a half-written file was not made.

--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -177,26 +177,23 @@
                            << absl::StrJoin(needRestart, ", "));
 }
 
-/// Period at which the settings file is checked for changes, which may come without a signal.
-constexpr timespec SettingsCheckPeriod = {1, 0};
+/// Period at which the settings file is checked for changes, which may come without a signal: they
+/// take effect within two of it.
+constexpr timespec SettingsCheckPeriod = {0, 500'000'000};
 
 /// Reloads the settings at SIGHUP and when their file has changed, until the process is to end.
 /// @param signals SIGHUP and the signals that end the process; blocked.
 void followSettings(const ParsedSettings &start, const sigset_t &signals, TrafficMailbox &traffic,
                     int argc, char **argv) {
   Settings applied = start.Values;
-  std::optional<std::string> text = settingsFileText(start.FilePath);
+  SettingsFileWatch watch(start.FileText);
   while (true) {
     const int signal = start.FilePath.empty()
                            ? sigwaitinfo(&signals, nullptr)
                            : sigtimedwait(&signals, nullptr, &SettingsCheckPeriod);
     if (signal == SIGTERM || signal == SIGINT)
       return;
-    std::optional<std::string> latest = settingsFileText(start.FilePath);
-    const bool changed = latest.has_value() && latest != text;
-    if (changed)
-      text = std::move(latest);
-    if (changed || signal == SIGHUP)
+    if (watch.check(settingsFileText(start.FilePath), signal == SIGHUP))
       reloadSettings(applied, traffic, argc, argv);
   }
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -113,6 +113,15 @@
   return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
+bool SettingsFileWatch::check(const std::optional<std::string> &text, bool signalled) {
+  const bool isComplete = text.has_value() && text == Last;
+  Last = text;
+  if (!signalled && (!isComplete || text == InEffect))
+    return false;
+  InEffect = text;
+  return true;
+}
+
 std::variant<ParsedSettings, int> settingsAtStart(const std::string &program,
                                                   const std::string &about,
                                                   const std::vector<SettingRow> &table, int argc,
@@ -189,6 +198,8 @@
     std::map<std::string, std::string> file;
     parsed.FilePath = path;
     if (!path.empty()) {
+      // Before it is parsed, so that a change in between is found later.
+      parsed.FileText = settingsFileText(path).value_or("");
       auto read = parseSettingsFile(path, table);
       if (!read.ok())
         return read.status();
--- a/src/settings.h
+++ b/src/settings.h
@@ -49,6 +49,7 @@
   Settings Values;
   std::vector<std::string> Arguments; ///< Positional arguments.
   std::string FilePath;               ///< Settings file that was read; empty: none.
+  std::string FileText;               ///< Its bytes.
   /// Help, version or settings to print, after which the program exits; empty: it runs.
   std::string Message;
 };
@@ -63,6 +64,24 @@
 /// @returns the bytes of a settings file; nullopt if it can't be read.
 std::optional<std::string> settingsFileText(const std::string &path);
 
+/// Tells when a settings file is to be read again.
+class SettingsFileWatch {
+public:
+  /// @param text bytes of the file that are in effect.
+  explicit SettingsFileWatch(const std::string &text) : InEffect(text), Last(text) {}
+
+  /// Checks the file. A file that changes without a signal may be half written, and counts once two
+  /// checks have found the same.
+  /// @param text present bytes of the file; nullopt if it can't be read.
+  /// @param signalled whether a signal says that the file has changed.
+  /// @returns whether the file is to be read.
+  bool check(const std::optional<std::string> &text, bool signalled);
+
+private:
+  std::optional<std::string> InEffect;
+  std::optional<std::string> Last; ///< At the last check.
+};
+
 /// Parses the settings at program start. Prints help, version, settings or an error if the program
 /// has to exit instead of running.
 /// @returns the settings, or the exit code.
