--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -48,7 +48,7 @@
     Tombstones[it.ID] = {now, it};
   // Its heartbeat may have arrived before the departures were known.
   if (Current.has_value() && hasTombstone(*Current, now))
-    Withdrawn = true;
+    markWithdrawn(now);
 }
 
 std::optional<UpstreamDeparture> UpstreamTracker::departure() const {
@@ -82,6 +82,13 @@
          announcement.ProcessStart == Current->ProcessStart;
 }
 
+void UpstreamTracker::setConfiguredService(const ServiceName &service) {
+  // Heartbeats from before the change do not tell who has the address now.
+  if (service != ConfiguredService)
+    CurrentSince.reset();
+  ConfiguredService = service;
+}
+
 bool UpstreamTracker::hasConfiguredService(const Announcement &announcement) const {
   return ConfiguredService.empty() || announcement.Service == ConfiguredService;
 }
@@ -91,16 +98,22 @@
   return ended || now >= LastHeartbeatAt + HeartbeatInterval + HeartbeatInterval / 2;
 }
 
+bool UpstreamTracker::hasCurrentBeaten() const {
+  return CurrentSince.has_value() && LastHeartbeatAt >= *CurrentSince + HeartbeatInterval / 2;
+}
+
 bool UpstreamTracker::replacesCurrent(const Announcement &announcement, bool beats,
                                       TimeMs now) const {
   const bool fits = hasConfiguredService(announcement);
   const bool currentFits = hasConfiguredService(*Current);
-  if (fits && !currentFits)
-    return true;
   const bool startedLater =
       announcement.ProcessStart == 0 || announcement.ProcessStart >= Current->ProcessStart;
-  const bool isExpected = startedLater && (fits || !currentFits);
-  return isCurrentSilent(now) && (isExpected || beats);
+  const bool hasSameID = announcement.ID == Current->ID;
+  if (hasSameID && startedLater)
+    return true;
+  const bool isExpected = fits == currentFits ? startedLater : fits && (startedLater || !hasSameID);
+  const bool isSilent = isCurrentSilent(now);
+  return (isExpected && (isSilent || !hasCurrentBeaten())) || (isSilent && beats);
 }
 
 bool UpstreamTracker::trackRival(const Announcement &announcement, TimeMs now) {
@@ -115,13 +128,17 @@
   return rises && now >= LatestRival->FirstAt + HeartbeatInterval / 2;
 }
 
+bool UpstreamTracker::contradictsWithdrawal(const Announcement &announcement, TimeMs now) {
+  return now >= WithdrawnAt + TombstoneTime && trackRival(announcement, now);
+}
+
 HeartbeatResult UpstreamTracker::applyHeartbeat(const Announcement &announcement, TimeMs now) {
   if (hasTombstone(announcement, now))
     return HeartbeatResult::Stale;
   const bool sameProcess = isOfCurrentProcess(announcement);
-  const bool isOld = Withdrawn || (announcement.Sequence != 0 && Current.has_value() &&
-                                   announcement.Sequence <= Current->Sequence);
-  if (sameProcess && isOld)
+  const bool isOld = announcement.Sequence != 0 && Current.has_value() &&
+                     announcement.Sequence <= Current->Sequence;
+  if (sameProcess && (isOld || (Withdrawn && !contradictsWithdrawal(announcement, now))))
     return HeartbeatResult::Stale;
   if (Current.has_value() && !sameProcess) {
     const bool beats = trackRival(announcement, now);
@@ -140,6 +157,8 @@
   const bool changed = !Current.has_value() || Withdrawn || TimedOut || known != announcement;
   // An upstream without an identity may have been replaced while it was silent.
   Leaving &= sameProcess && !TimedOut;
+  if (!sameProcess || !CurrentSince.has_value())
+    CurrentSince = now;
   Current = announcement;
   LastHeartbeatAt = now;
   Withdrawn = false;
@@ -155,10 +174,15 @@
     Tombstones[id] = {now, {id, unixNow}};
     return false;
   }
-  Withdrawn = true;
+  markWithdrawn(now);
   return true;
 }
 
+void UpstreamTracker::markWithdrawn(TimeMs now) {
+  Withdrawn = true;
+  WithdrawnAt = now;
+}
+
 bool UpstreamTracker::markLeaving() {
   const bool accepted = acceptsWork();
   Leaving = true;
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -66,17 +66,19 @@
 /// State of the local upstream, derived from its heartbeats. Heartbeats may be delayed, duplicated
 /// or reordered, and may arrive after their sender has ended and another process uses its address.
 ///
-/// One process has the address at a time. Another one is believed instead if it alone has the
-/// service that the settings name, or once the current one is silent and the other has started
-/// later or goes on beating. Starts are told by the clocks of different hosts, so that they alone
-/// neither replace a process that beats nor shut one out.
+/// One process has the address at a time. Another one is believed instead once the current one is
+/// silent and the other has started later, alone has the service that the settings name, or goes on
+/// beating. Starts are told by the clocks of different hosts, and settings may be late, so that
+/// they alone neither replace a process that beats nor shut one out; they decide at once against
+/// a process that was heard at one time only. Processes with one ID have one clock: the later start
+/// decides between them.
 class UpstreamTracker {
 public:
   explicit UpstreamTracker(DurationMs heartbeatInterval) : HeartbeatInterval(heartbeatInterval) {}
 
   void setHeartbeatInterval(DurationMs interval) { HeartbeatInterval = interval; }
   /// @param service service that the settings name; may be empty.
-  void setConfiguredService(ServiceName service) { ConfiguredService = std::move(service); }
+  void setConfiguredService(const ServiceName &service);
   /// Accepts no work until endWait(): this node may have acknowledged departures before a restart.
   void awaitDepartures() { Restored = false; }
   void endWait() { Restored = true; }
@@ -114,7 +116,8 @@
   bool hasLeft() const { return Withdrawn || TimedOut; }
 
 private:
-  /// A process other than the current one, heard since the last heartbeat of the current one.
+  /// A process other than the current one, or the current one after its withdrawal, heard since the
+  /// last heartbeat that was believed.
   struct Rival {
     UpstreamID ID;
     TimeMs ProcessStart = 0;
@@ -131,11 +134,17 @@
   bool hasConfiguredService(const Announcement &announcement) const;
   /// @returns whether the current process no longer accepts work, is absent or misses a heartbeat.
   bool isCurrentSilent(TimeMs now) const;
+  /// @returns whether the current process has gone on beating, which held-up heartbeats do not.
+  bool hasCurrentBeaten() const;
   /// @returns whether another process is to be believed instead of the current one.
   bool replacesCurrent(const Announcement &announcement, bool beats, TimeMs now) const;
   /// Follows the heartbeats of another process.
   /// @returns whether it goes on beating, which a held-up heartbeat does not.
   bool trackRival(const Announcement &announcement, TimeMs now);
+  void markWithdrawn(TimeMs now);
+  /// @returns whether the current process still beats so long after its withdrawal that it was the
+  /// late one of an earlier process with its ID.
+  bool contradictsWithdrawal(const Announcement &announcement, TimeMs now);
   bool hasTombstone(const Announcement &announcement, TimeMs now) const;
 
   DurationMs HeartbeatInterval;
@@ -145,9 +154,12 @@
   std::map<UpstreamID, Tombstone> Tombstones;
   TimeMs LastHeartbeatAt = 0;
   bool Withdrawn = false;
-  bool Leaving = false; ///< Stated in responses of the current process.
+  TimeMs WithdrawnAt = 0; ///< Steady clock.
+  bool Leaving = false;   ///< Stated in responses of the current process.
   bool TimedOut = false;
   bool Absent = false;
+  /// Steady clock; first heartbeat of the current process since the settings named their service.
+  std::optional<TimeMs> CurrentSince;
   bool Restored = true;
 };
 
