Record the departure of a process that had departed and returned

Callers would see: requests to an upstream that has left, after a restart of its node. Found in review; not seen by a user.

Cause: a departure is recorded once for each process. One that drains or is withdrawn, returns and departs again was acknowledged at once, as if its record, of an earlier heartbeat and perhaps expired, held for it too.

A process that accepts work again has no recorded departure. Numbers come from a counter, as records are removed now.

Evidence: the new case of traffic_task_test fails before this change (no second record is sent) and passes with it.

--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -282,11 +282,10 @@
 std::uint64_t TrafficTask::recordDeparture(const UpstreamDeparture &departure) {
   if (!Settings.RecordsDepartures || departure.ID.empty())
     return 0;
-  const std::uint64_t number = Departures.size() + 1;
   const auto [it, added] = Departures.try_emplace({departure.ID, departure.StartedBefore});
   if (added) {
-    it->second.Number = number;
-    Control.put(UpstreamDeparted{number, departure});
+    it->second.Number = ++LastDeparture;
+    Control.put(UpstreamDeparted{LastDeparture, departure});
   }
   return it->second.Recorded ? 0 : it->second.Number;
 }
@@ -402,8 +401,12 @@
   const HeartbeatResult result = AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs());
   Stats.recordHeartbeat(result);
   recordProcessChange(before, announcement);
-  if (result == HeartbeatResult::Changed)
+  if (result == HeartbeatResult::Changed) {
+    // A later departure of this process is another one.
+    if (AnnouncedUpstream.acceptsWork())
+      Departures.erase({announcement.ID, announcement.ProcessStart + 1});
     applyAnnouncement();
+  }
   awaitDepartures();
   return acknowledge(AnnouncedUpstream.departure());
 }
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -134,6 +134,7 @@
   std::vector<HeldResponse> HeldResponses;
   /// By ID and UpstreamDeparture::StartedBefore.
   std::map<std::pair<UpstreamID, TimeMs>, DepartureRecord> Departures;
+  std::uint64_t LastDeparture = 0; ///< Number of the last departure.
   Timer ResponseTimer;
   TimeMs StartedAt = 0;       ///< Unix time.
   bool PeersAnswered = false; ///< Other nodes have told the departures that they know.
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -309,6 +309,21 @@
   close(overdue);
 }
 
+// Guards against a departure that is lost because the process had departed and returned before.
+BOOST_AUTO_TEST_CASE(departure_of_a_process_that_has_returned_is_recorded_again) {
+  PlatformTask task({.RecordsDepartures = true});
+  task.Inbox.put(DeparturesRestored{});
+  task.Inbox.put(DeparturesRestored{{}, true});
+  sendHeartbeat("i-1", "a", 10);
+  for (const int sequence : {2, 4}) {
+    sendHeartbeat("i-1", "a", 10, sequence, "draining");
+    const auto departed = receive<UpstreamDeparted>(task.Control);
+    BOOST_TEST(departed.Departure.Sequence == static_cast<std::uint64_t>(sequence));
+    task.Inbox.put(DepartureRecorded{departed.Number});
+    sendHeartbeat("i-1", "a", 10, sequence + 1);
+  }
+}
+
 // Guards against a restarted node that serves an upstream which has left.
 BOOST_AUTO_TEST_CASE(late_heartbeat_after_a_restart_does_not_bring_back_an_upstream_that_left) {
   for (const bool left : {true, false}) {
