Tell a living host without a link that it is marked as gone

Cause: a host of first rank that is marked as gone while it lives opens no link, and the others drop theirs. It goes on introducing itself to the seeds, but an introduction returned the records of others only, so that it never learned of the mark and never refuted it.

An introduction now returns the caller's own record too if it differs from the one that the caller stated. The caller refutes it with a higher sequence, as it does on a link. A host that is known as it states gets nothing more.

Shown: living_host_without_a_link_learns_that_it_is_marked_as_gone of mesh_test failed before the change and passes with it, as do the 18 other cases.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -171,9 +171,11 @@
   for (const HostID &parent :
        treePositionOf(Hosts.members(other.DataCentre), other.Host, Shape).Parents)
     selected.insert(parent);
+  // A host that is marked as gone has no link over which it would learn of it.
+  selected.insert(other.Host);
   std::vector<HostRecord> records;
   for (const HostID &host : selected) {
-    if (const HostRecord *record = Hosts.find(host); record != nullptr)
+    if (const HostRecord *record = Hosts.find(host); record != nullptr && *record != other)
       records.push_back(*record);
   }
   return records;
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -123,8 +123,9 @@
   bool mergeRecords(const std::vector<HostRecord> &records, const HostID &from, TimeMs now);
 
   /// Selects the records by which another host finds its place in the mesh: this host, the roots of
-  /// both data centres, the host's parents, and the hosts in \p requested, gone ones included. The
-  /// host gets the whole table over the link to its parent.
+  /// both data centres, the host's parents, and the hosts in \p requested, gone ones included; also
+  /// the host itself if its record differs from \p other. The host gets the whole table over the
+  /// link to its parent.
   std::vector<HostRecord> introductionFor(const HostRecord &other,
                                           const std::vector<HostID> &requested) const;
 
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -478,6 +478,22 @@
   BOOST_TEST((std::find(introduction.begin(), introduction.end(), gone) != introduction.end()));
 }
 
+BOOST_FIXTURE_TEST_CASE(living_host_without_a_link_learns_that_it_is_marked_as_gone, LargeMesh) {
+  MeshNode living({HostID("h60"), 1, dataCentreOf(60), "h60:1", "h60:2"}, StartTime);
+  Node.mergeRecords({living.self()}, HostID("h60"), StartTime);
+  HostRecord gone = living.self();
+  gone.State = HostState::Gone;
+  Node.mergeRecords({gone}, HostID("peer"), StartTime);
+  for (int n = 0; n < 2; ++n) {
+    Node.mergeRecords({living.self()}, HostID("h60"), StartTime);
+    living.mergeRecords(Node.introductionFor(living.self(), {}), HostID(), StartTime);
+  }
+  BOOST_TEST((Node.hosts().find(HostID("h60"))->State != HostState::Gone));
+  const std::vector<HostRecord> introduction = Node.introductionFor(living.self(), {});
+  BOOST_TEST(
+      (std::find(introduction.begin(), introduction.end(), living.self()) == introduction.end()));
+}
+
 BOOST_AUTO_TEST_CASE(tree_positions_form_no_cycle_and_limit_children) {
   std::vector<HostID> members;
   for (int n = 0; n < 890; ++n)
