End the transfer of keys within the stop time

Cause: a drain may take 90 % of the stop time, and the transfer of the idempotency keys could take 2 s more beside a gate that does not answer.

The transfer may now take what is left up to 95 % of the stop time, at least 50 ms and at most 2 s as before. Keys that are not handed over in time are stated as such, as before, so that no copy of their requests runs.

--- a/src/traffic/drain_rule.cpp
+++ b/src/traffic/drain_rule.cpp
@@ -1,6 +1,8 @@
 /// @file drain_rule.cpp Steps of a graceful shutdown by elapsed time.
 #include "traffic/drain_rule.h"
 
+#include <algorithm>
+
 namespace jasmineloom {
 
 namespace {
@@ -13,6 +15,11 @@
 constexpr double CloseIngressShare = 0.5;
 /// Fraction of the stop time after which the host ends even with requests in flight.
 constexpr double ForcedFinishShare = 0.9;
+/// Fraction of the stop time after which the transfer of keys ends; the rest is for the last
+/// announcement and responses.
+constexpr double EndTransferShare = 0.95;
+constexpr DurationMs MinKeyTransferTime = 50;
+constexpr DurationMs MaxKeyTransferTime = 2000;
 /// Time after which callers that poll readiness have moved away, if there is another host for them.
 /// A host whose upstream has ended need not stay longer.
 constexpr DurationMs CallersMoveTime = 2200;
@@ -40,4 +47,10 @@
   return elapsed < CallersMoveTime || elapsed + timeout <= end;
 }
 
+DurationMs keyTransferTime(DurationMs elapsed, DurationMs stopTime) {
+  const auto end = static_cast<DurationMs>(EndTransferShare * static_cast<double>(stopTime));
+  const DurationMs left = elapsed < end ? end - elapsed : 0;
+  return std::clamp(left, MinKeyTransferTime, MaxKeyTransferTime);
+}
+
 } // namespace jasmineloom
--- a/src/traffic/drain_rule.h
+++ b/src/traffic/drain_rule.h
@@ -34,4 +34,9 @@
 /// @param timeout time that the request may take.
 bool mayAcceptWhileDraining(DurationMs elapsed, DurationMs stopTime, DurationMs timeout);
 
+/// @param elapsed since the drain began.
+/// @returns the time that the transfer of the idempotency keys may take, so that the process ends
+/// within its stop time; above 0.
+DurationMs keyTransferTime(DurationMs elapsed, DurationMs stopTime);
+
 } // namespace jasmineloom
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -37,7 +37,6 @@
 /// Relative change of a limit from which it is written to the time line again.
 constexpr double LoggedLimitChange = 0.2;
 constexpr std::size_t KeysPerCall = 10000;
-constexpr DurationMs KeyTransferTimeout = 2 * MsPerSecond;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusOk = 200;
 constexpr int StatusBadRequest = 400;
@@ -299,7 +298,7 @@
   return gates;
 }
 
-void GateTask::transferKeys(std::function<void(bool)> done) {
+void GateTask::transferKeys(DurationMs timeout, std::function<void(bool)> done) {
   /// State shared by the calls of the transfer.
   struct Progress {
     std::size_t Open = 0;
@@ -322,7 +321,7 @@
     for (const std::string &gate : gates) {
       HttpCall call = makePeerCall(KeysPath);
       call.Method = EVHTTP_REQ_POST;
-      call.Timeout = KeyTransferTimeout;
+      call.Timeout = timeout;
       call.Body = makeBuffer(body);
       ++progress->Open;
       Pool.call(gate, std::move(call), [progress](const HttpResult &result) {
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -70,8 +70,9 @@
   /// @returns whether all responses were sent.
   bool hasSentAll() const { return Server.hasSentAll(); }
   /// Stops granting key claims and copies all keys to the other gates of the service.
+  /// @param timeout time after which a gate that does not answer counts as failed.
   /// @param done invoked once, with whether all keys are stored at all other gates.
-  void transferKeys(std::function<void(bool)> done);
+  void transferKeys(DurationMs timeout, std::function<void(bool)> done);
   /// @returns the number of unanswered requests.
   std::size_t pending() const { return Server.pending(); }
   const Gate &gate() const { return AdmissionControl; }
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -225,7 +225,8 @@
   if (step.CloseIngress)
     Ingress->beginShutdown();
   if (step.Finish) {
-    LocalGate->transferKeys([this](bool handedOver) { Control.put(Drained{handedOver}); });
+    LocalGate->transferKeys(keyTransferTime(now - DrainSince, Settings.StopTime),
+                            [this](bool handedOver) { Control.put(Drained{handedOver}); });
     return;
   }
   DrainTimer.start(DrainCheckPeriod);
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -4,6 +4,7 @@
 
 #include "event_util.h"
 #include "platform_environment.h"
+#include "traffic/peer_call.h"
 #include "traffic/traffic_task.h"
 
 #include <absl/strings/str_cat.h>
@@ -241,6 +242,45 @@
   close(gate);
 }
 
+// Guards against a host that outlives its stop time beside a gate that does not take its keys.
+BOOST_AUTO_TEST_CASE(transfer_of_keys_ends_within_the_stop_time) {
+  TrafficMailbox inbox;
+  ControlMailbox control;
+  const Environment environment = nativeEnvironment();
+  TrafficSettings settings = testSettings();
+  settings.StopTime = MsPerSecond;
+  TrafficTask task(settings, environment, inbox, control);
+  BOOST_REQUIRE(task.listen());
+  const int silent = listenOn(UpstreamPort);
+  auto view = std::make_shared<RoutingView>(*viewOfOneGate());
+  HostRecord peer;
+  peer.Host = HostID("h2");
+  peer.State = HostState::Ready;
+  peer.Service = ServiceName("s");
+  peer.GateAddress = absl::StrCat("127.0.0.1:", UpstreamPort);
+  view->Hosts.push_back(peer);
+  inbox.put(PublishView{view});
+  std::thread loop([&task] { task.run(); });
+  const int heartbeat = connectTo(ManagementPort);
+  sendText(heartbeat, absl::StrCat("POST /announce?service=s&version=v1&slots=1&id=i&address="
+                                   "127.0.0.1:",
+                                   UpstreamPort, " HTTP/1.1\r\nHost: x\r\n\r\n"));
+  BOOST_TEST(readHead(heartbeat).find("HTTP/1.1 200 ") == 0U);
+  // Another gate claims a key here.
+  const int claim = connectTo(GatePort);
+  sendText(claim, absl::StrCat("GET ", ClaimPath, "7 HTTP/1.1\r\nHost: x\r\n", header::Secret,
+                               ": a-secret-of-the-test\r\n\r\n"));
+  BOOST_TEST(readHead(claim).find("HTTP/1.1 200 ") == 0U);
+  const TimeMs start = steadyClockMs();
+  inbox.put(BeginDrain{});
+  BOOST_TEST(!receive<Drained>(control).KeysHandedOver);
+  BOOST_TEST(steadyClockMs() - start < settings.StopTime);
+  inbox.put(StopTask{});
+  loop.join();
+  for (const int fd : {heartbeat, claim, silent})
+    close(fd);
+}
+
 // Guards against requests that wait for one service and are run by another one that has taken over
 // the address of its upstream.
 BOOST_AUTO_TEST_CASE(queued_requests_are_not_sent_to_another_service_at_the_address) {
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -427,6 +427,13 @@
     BOOST_TEST((decideDrain(it.State) == it.Expected), it.Name);
 }
 
+BOOST_AUTO_TEST_CASE(transfer_of_keys_leaves_time_to_end_within_the_stop_time) {
+  BOOST_TEST(keyTransferTime(3000, 6000) == 2000);
+  BOOST_TEST(keyTransferTime(5400, 6000) == 300);
+  BOOST_TEST(keyTransferTime(900, 1000) == 50);
+  BOOST_TEST(keyTransferTime(9000, 6000) == 50);
+}
+
 BOOST_AUTO_TEST_CASE(draining_finishes_queued_and_running_requests) {
   Gate gate = openGate(1);
   gate.admit(request(1), Now);
