Play late heartbeats, clocks apart and rewritten settings in the soak

The soak never changed a host's service or its clock, nor delivered a heartbeat of an earlier process, so that it could not find this class.

New draws: heartbeats of an earlier process of another service arrive one to three times, with an earlier or later start, at a living node or as the first ones after its restart; starts of the upstreams' processes are up to 2 s apart by their clocks; settings files are rewritten with and without SIGHUP, some half-written first. One host has no service in its settings. New checks: each keyed request names a service that the settings of its host named 1.5 s before it was sent or later; a living upstream gets work 6 s after a late heartbeat at the latest, and all do at the end. The load tool states where and when an attempt was sent; the upstream stand-in logs it with the caller, and states a sequence. The number of hosts is an argument.

Changed: replace_upstream names the service in the settings, as the platform does, and takes the node's lock for it; it sent SIGHUP without that before.

--- a/standins/upstream_standin.cpp
+++ b/standins/upstream_standin.cpp
@@ -38,6 +38,8 @@
      "Share of requests answered with status 500"},
     {"cold", SettingType::Number, 0, 60000, "0", "ms",
      "Time after the start during which requests take 10 ms longer"},
+    {"born-offset", SettingType::Number, -60000, 60000, "0", "ms",
+     "Time by which the clock of its host is ahead"},
     {"limit", SettingType::Text, 0, 4096, "", "",
      "Requests per second to name as the limit in responses; empty: none"},
     {"leaving", SettingType::Choice, 0, 0, "no", "", "State in responses that it leaves", "no,yes"},
@@ -56,7 +58,8 @@
 public:
   UpstreamStandin(event_base *base, Settings values)
       : Base(base), Values(std::move(values)), Random(static_cast<unsigned>(Values.number("seed"))),
-        AnnounceTimer(base, [this] { announce(); }), StartTime(wallClockMs()) {
+        AnnounceTimer(base, [this] { announce(); }), StartTime(wallClockMs()),
+        Born(static_cast<TimeMs>(static_cast<long>(StartTime) + Values.number("born-offset"))) {
     Slots = Values.number("slots");
     announce();
   }
@@ -88,8 +91,14 @@
     if (key != nullptr)
       ++RunsByKey[key];
     // Each line is one unbuffered write, so the run is logged even if the process is killed next.
-    if (key != nullptr && Values.text("log-runs") == "yes")
-      std::cerr << "run " + std::string(key) + " " + Values.text("service") + " " + path + "\n";
+    if (key != nullptr && Values.text("log-runs") == "yes") {
+      const char *origin =
+          evhttp_find_header(evhttp_request_get_input_headers(request), "x-sent-to");
+      std::cerr << "run " + std::string(key) + " " + Values.text("service") + " " + path + " " +
+                       (LastCaller.empty() ? "none" : LastCaller) + " " +
+                       (origin == nullptr ? "none 0" : origin) + " " +
+                       std::to_string(wallClockMs()) + "\n";
+    }
     ++RequestCount;
     scheduleReply(request, path);
   }
@@ -104,7 +113,7 @@
 
   /// @returns the identity of this process, which requests name.
   std::string instanceID() const {
-    return "upstream-" + Values.text("port") + "-" + std::to_string(StartTime);
+    return "upstream-" + Values.text("port") + "-" + std::to_string(Born);
   }
 
   void recordArrival(TimeMs now) {
@@ -210,12 +219,12 @@
       evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                         nodeAddress->Host.c_str());
       evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", "0");
-      const std::string path = "/announce?service=" + Values.text("service") +
-                               "&version=" + Values.text("serves-version") +
-                               "&slots=" + std::to_string(Slots) + "&id=" + instanceID() +
-                               "&born=" + std::to_string(StartTime) +
-                               "&address=" + Values.text("address") + ":" + Values.text("port") +
-                               (Draining ? "&draining=1" : "");
+      const std::string path =
+          "/announce?service=" + Values.text("service") +
+          "&version=" + Values.text("serves-version") + "&slots=" + std::to_string(Slots) +
+          "&id=" + instanceID() + "&born=" + std::to_string(Born) +
+          "&sequence=" + std::to_string(++Sequence) + "&address=" + Values.text("address") + ":" +
+          Values.text("port") + (Draining ? "&draining=1" : "");
       evhttp_make_request(NodeConnection, request, EVHTTP_REQ_POST, path.c_str());
     }
     AnnounceTimer.start(AnnouncePeriod);
@@ -226,6 +235,8 @@
   std::mt19937_64 Random;
   Timer AnnounceTimer;
   TimeMs StartTime;
+  TimeMs Born; ///< The start by the clock of its host.
+  std::uint64_t Sequence = 0;
   std::string LastCaller; ///< Service named as the caller of the last request.
   evhttp_connection *NodeConnection = nullptr;
   std::list<PendingReply> PendingReplies;
--- a/tests/fault_soak.sh
+++ b/tests/fault_soak.sh
@@ -1,9 +1,10 @@
 #!/bin/bash
 # Randomised soak test with real processes on loopback. Under load and configuration changes, it
 # kills, pauses, stops and restarts processes; delays, resets and blocks connections (in one or both
-# directions) through a proxy; and makes the store unavailable, slow or lose responses. Compares the
-# outcomes reported to callers with the runs that the upstreams logged.
-# Arguments: build folder, seed, duration of the faults in seconds.
+# directions) through a proxy; makes the store unavailable, slow or lose responses; delivers
+# heartbeats of earlier upstreams late, with clocks that differ between hosts; and rewrites settings.
+# Compares the outcomes reported to callers with the runs that the upstreams logged.
+# Arguments: build folder, seed, duration of the faults in seconds, hosts.
 set -u
 BIN=$1
 SEED=$2
@@ -15,7 +16,11 @@
 BASE_PORT=$((26001 + PORT_RANGE * 100))
 CONTROL=127.0.0.1:$((26090 + PORT_RANGE * 100))
 NET=127.0.$((PORT_RANGE + 1))
-HOSTS=8
+HOSTS=${4:-8}
+# The settings of this host name no service.
+UNNAMED=7
+# Time for a changed settings file to take effect: a second, and some for a busy machine.
+SETTINGS_TIME_MS=1500
 SOURCE=$(cd "$(dirname "$0")/.." && pwd)
 . "$SOURCE/tools/mesh.sh"
 . "$SOURCE/tests/checks.sh"
@@ -28,6 +33,8 @@
 }
 # --- Processes: ids are kept in files, as faults stop and start processes from background jobs. ---
 
+now_ms() { date +%s%3N; }
+other_service() { [ "$(service_of "$1")" = lookups ] && echo royalties || echo lookups; }
 service_of() { case $1 in 4 | 5 | 6 | 8) echo royalties ;; *) echo lookups ;; esac; }
 record_pid() { # KIND N PID
   # Keeps the shell from printing a message for each process that a fault kills.
@@ -37,11 +44,13 @@
 }
 pid_of() { cat "$OUT/pid.$1.$2"; }
 run_node() {
-  NODE_STORE=$NET.$1:$STORE_PORT start_node "$1" "dc$((($1 - 1) % 3 + 1))" --advertise "$NET.$1"
+  NODE_STORE=$NET.$1:$STORE_PORT start_node "$1" "dc$((($1 - 1) % 3 + 1))" --advertise "$NET.$1" \
+    --settings-file "$OUT/settings.$1"
   record_pid node "$1" "$NODE_PID"
 }
-run_upstream() { # N [SERVICE]
-  start_upstream "$1" "${2:-$(service_of "$1")}" v1 12 --log-runs yes --latency 25
+run_upstream() { # N [SERVICE]: the clock of its host is up to 2 s ahead or behind
+  draw 4001
+  start_upstream "$1" "${2:-$(service_of "$1")}" v1 12 --log-runs yes --latency 25 --born-offset $((R - 2000))
   record_pid upstream "$1" "$UPSTREAM_PID"
 }
 kill_all() {
@@ -95,11 +104,59 @@
   kill -STOP "$(pid_of upstream "$1")"
   sleep "$2"
   kill -KILL "$(pid_of upstream "$1")"
-  run_upstream "$1" "$([ "$(service_of "$1")" = lookups ] && echo royalties || echo lookups)"
-  kill -HUP "$(pid_of node "$1")"
+  exclusively node "$1" change_settings "$1" "$(other_service "$1")"
+  run_upstream "$1" "$(other_service "$1")"
   sleep 1.5
+  exclusively node "$1" change_settings "$1" "$(service_of "$1")"
   kill_upstream "$1" 0.3
 }
+name_service() { # N SERVICE: the settings name the service from now on
+  # The time is taken first, as a node may read the file at once.
+  echo "127.0.0.1:$(node_port "$1" 0) $2 $(now_ms)" >>"$OUT/settings.txt"
+  echo "local-service = $2" >"$OUT/settings.$1"
+}
+change_settings() { # N SERVICE: with or without a signal, half-written first or at once
+  [ "$1" = $UNNAMED ] && return
+  draw 4
+  if [ $((R / 2)) = 1 ]; then
+    printf 'local-serv' >"$OUT/settings.$1"
+    kill -HUP "$(pid_of node "$1")"
+    sleep 0.3
+  fi
+  name_service "$1" "$2"
+  [ $((R % 2)) = 1 ] && kill -HUP "$(pid_of node "$1")"
+  sleep 1.7
+}
+rename_service() { # N: the settings name a service that no upstream has, for a while
+  change_settings "$1" "desk$1"
+  change_settings "$1" "$(service_of "$1")"
+}
+stats_total() { curl -s -m 2 "127.0.0.1:$(node_port "$1" 4)/standin/stats" | awk '/^total/ { print $2 }'; }
+gets_work() { # N: of requests at once, more than the other upstreams have slots for
+  local total
+  total=$(stats_total "$1")
+  curl -s -m 3 -Z --parallel-max 60 -o /dev/null "127.0.0.1:$(node_port "$1" 0)/$(service_of "$1")/[1-60]"
+  [ "$(stats_total "$1")" -gt "$total" ]
+}
+hold_up_heartbeat() { # N FIRST: heartbeats of an earlier process of another service arrive late
+  if [ "$2" = first ]; then
+    kill -STOP "$(pid_of upstream "$1")"
+    kill_node "$1" 0.2
+  fi
+  draw 6001
+  local born=$(($(now_ms) + R - 3000))
+  draw 3
+  for sequence in $(seq 7 $((7 + R))); do
+    statement="service=$(other_service "$1")&version=v1&slots=12&id=earlier-$born&born=$born"
+    curl -s -m 2 --retry 9 --retry-delay 1 --retry-connrefused -o /dev/null -X POST \
+      "127.0.0.1:$(node_port "$1" 3)/announce?$statement&sequence=$sequence&address=127.0.0.1:$(node_port "$1" 4)"
+    sleep 0.1
+  done
+  kill -CONT "$(pid_of upstream "$1")"
+  # Three heartbeats, and the time in which the other nodes learn of it and send work.
+  sleep 4
+  TRIES=10 eventually gets_work "$1" || echo "the living upstream $1 gets no work 6 s after a late heartbeat" >>"$OUT/broken"
+}
 kill_node_in_drain() { # its upstream drains, and the node is killed right after
   curl -s -m 2 "127.0.0.1:$(node_port "$1" 4)/standin/drain" >/dev/null
   exclusively node "$1" kill_node "$1" 0.3
@@ -121,7 +178,7 @@
   timeout 20 "$BIN/jasminectl" --node "$CTL_NODES" apply "$OUT/w$1" "${@:2}" >>"$OUT/changes.txt" 2>&1
 }
 inject() { # STEP: starts a random fault
-  draw 14
+  draw 18
   kind=$R
   draw $HOSTS
   n=$((R + 1))
@@ -144,6 +201,9 @@
   11) change $((20 + $1)) & ;;
   12) exclusively upstream $n replace_upstream $n "$pause" & ;;
   13) exclusively upstream $n kill_node_in_drain $n "$pause" & ;;
+  14) exclusively upstream $n exclusively node $n exclusively gate $n exclusively rpc $n hold_up_heartbeat $n again & ;;
+  15) exclusively upstream $n exclusively node $n exclusively gate $n exclusively rpc $n hold_up_heartbeat $n first & ;;
+  16 | 17) exclusively node $n rename_service $n & ;;
   esac
 }
 
@@ -163,6 +223,8 @@
 TARGETS=""
 CTL_NODES=""
 for n in $(seq $HOSTS); do
+  echo "log-level = info" >"$OUT/settings.$n"
+  [ "$n" = $UNNAMED ] || name_service "$n" "$(service_of "$n")"
   run_node "$n"
   run_upstream "$n"
   TARGETS="$TARGETS,127.0.0.1:$(node_port "$n" 0)"
@@ -220,6 +282,29 @@
   cat "$OUT"/upstream*.log | awk '$1 == "run" && index($4, "/" $3) != 1 { print; bad = 1 } END { exit bad }'
 }
 check "no request is run by another service" runs_at_own_service
+names_the_settings() { # the caller that a request names is in the settings, or was shortly before it was sent
+  cat "$OUT"/upstream*.log | awk -v settings="$OUT/settings.txt" -v grace=$SETTINGS_TIME_MS '
+    BEGIN {
+      while ((getline line < settings) > 0) {
+        split(line, part, " ")
+        i = ++n[part[1]]
+        service[part[1], i] = part[2]
+        since[part[1], i] = part[3]
+      }
+    }
+    $1 == "run" && $6 in n {
+      right = 0
+      for (i = 1; i <= n[$6]; i++)
+        right += service[$6, i] == $5 && since[$6, i] <= $8 && (i == n[$6] || since[$6, i + 1] > $7 - grace)
+      checked++
+      if (!right) { print "wrong caller: " $0; bad = 1 }
+    }
+    END { print "callers checked: " checked + 0; exit bad || checked < 100 }'
+}
+check "each request names the service of its settings" names_the_settings
+for n in $(seq $HOSTS); do
+  TRIES=20 check "upstream $n gets work after the faults" eventually gets_work "$n"
+done
 for log in "$OUT"/node*.log; do
   check "no older version is applied: $log" versions_rise "$log"
   check "no crash or sanitizer error: $log" [ "$(grep -c 'Sanitizer\|runtime error:\|terminate called\|Assertion' "$log")" = 0 ]
--- a/tools/jasmine_load.cpp
+++ b/tools/jasmine_load.cpp
@@ -218,12 +218,13 @@
     call.Method = request->Kind->Method == "POST" ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
     call.Path = absl::StrCat(request->Kind->Path, "/", request->Number);
     call.Timeout = static_cast<DurationMs>(Values.number("timeout"));
-    call.Headers = {{"x-request-token", absl::StrCat(request->Number)}};
+    const std::string &target = Targets[(request->Number + request->Attempts) % Targets.size()];
+    call.Headers = {{"x-request-token", absl::StrCat(request->Number)},
+                    {"x-sent-to", absl::StrCat(target, " ", wallClockMs())}};
     if (!request->Key.empty()) {
       call.Headers.push_back({header::Key, request->Key});
       call.Body = makeBuffer("{\"amount\": 1}");
     }
-    const std::string &target = Targets[(request->Number + request->Attempts) % Targets.size()];
     Pool.call(target, std::move(call), [this, request](HttpResult result) {
       auto shared = std::make_shared<HttpResult>(std::move(result));
       runAfter(static_cast<DurationMs>(Values.number("distance")),
