Tell a service's request rate from the time that the reports cover

Cause: the second share of an order (25 %) starts at 15 % of its duration instead of 50 % only for a service of a low rate, where that adds at most 30 requests. The controller divided the requests since the order by the whole 30 s that it retains, so that 3 s into an order a tenth of the rate was seen: 180 requests/s, taken for 18, spent 25 % for 35 % of the order's time. Class: a sum over a part of a window, divided by the whole. The rate is now that of the buckets since the first with counts. Not changed: stages, rules, limits. It doesn't show that no verdict comes too late: at the stages as meant, 10.3 % and 50 remain the worst case before the full share. Why tests missed it: order_trace gives nextOrderProgress the true rate of its trace, not the controller's. The new case of order_test failed before: with the earlier formula in the new function 18 != 180, 2 != 20, and stage 2 instead of 1 (trial). order_trace_test with the controller's rate instead of the trace's: no errors with either formula (trials, not landed), so its faults don't tell them apart.

--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -26,11 +26,6 @@
   VersionCounts Old;
   VersionCounts New;
 
-  double requestsPerSecond() const {
-    return static_cast<double>(Old.Requests + New.Requests) * MsPerSecond /
-           static_cast<double>(RetainedEvidenceBuckets * EvidenceBucketMs);
-  }
-
   std::string text() const {
     return absl::StrCat("new ", New.Failures, " failed of ", New.Requests, ", old ", Old.Failures,
                         " of ", Old.Requests);
@@ -301,7 +296,7 @@
   std::optional<RolloutProgress> next;
   if (judgement.Result == Verdict::Bad || hasEnoughEvidence(evidence, progress.Stage))
     next = nextOrderProgress(judgement, progress, elapsed < delay ? 0 : elapsed - delay, sinceStep,
-                             counts.requestsPerSecond());
+                             LocalController.requestRate(spec, now));
   if (next.has_value() && Node.updateProgress(*next)) {
     recordEvent("rollout", spec.ID.str(),
                 next->Phase == RolloutPhase::TakenBack ? "taken back: " + next->Reason
--- a/src/rollout/evidence_aggregator.cpp
+++ b/src/rollout/evidence_aggregator.cpp
@@ -101,6 +101,21 @@
   return collectStrata(now, buckets, &shifts);
 }
 
+double EvidenceAggregator::requestRate(TimeMs now, std::uint64_t buckets) const {
+  std::optional<std::uint64_t> first;
+  std::uint64_t sum = 0;
+  forEachCount(now, buckets,
+               [&](const ReportKey &source, const EvidenceKey &, const VersionCounts &counts) {
+                 first = std::min(first.value_or(source.Bucket), source.Bucket);
+                 sum += counts.Requests;
+               });
+  if (!first.has_value())
+    return 0;
+  const TimeMs start = *first * EvidenceBucketMs;
+  const DurationMs span = now < start + EvidenceBucketMs ? EvidenceBucketMs : now - start;
+  return static_cast<double>(sum) * MsPerSecond / static_cast<double>(span);
+}
+
 EvidenceAggregator::HostShifts EvidenceAggregator::hostShifts(TimeMs now) const {
   std::map<RouteName, VersionCounts> old;
   forEachCount(now, RetainedEvidenceBuckets,
--- a/src/rollout/evidence_aggregator.h
+++ b/src/rollout/evidence_aggregator.h
@@ -55,6 +55,10 @@
   std::vector<HostCounts> newVersionByHost(TimeMs now, std::uint64_t buckets,
                                            const RouteName *route) const;
 
+  /// @returns requests per second to both versions, since the first bucket with counts among those
+  /// that strata() covers; 0 without counts.
+  double requestRate(TimeMs now, std::uint64_t buckets) const;
+
   /// Saves the old version's recent counts as its baseline, for when it gets little traffic.
   void updateBaseline(TimeMs now);
 
--- a/src/rollout/rollout_controller_base.cpp
+++ b/src/rollout/rollout_controller_base.cpp
@@ -59,6 +59,10 @@
   return aggregatorOf(spec).strata(now, RetainedEvidenceBuckets);
 }
 
+double RolloutController::requestRate(const RolloutSpec &spec, TimeMs now) {
+  return aggregatorOf(spec).requestRate(now, RetainedEvidenceBuckets);
+}
+
 std::optional<RolloutProgress> RolloutController::nextProgress(const RolloutSpec &spec,
                                                                const RolloutProgress &progress,
                                                                TimeMs now, TimeMs steadyNow) {
--- a/src/rollout/rollout_controller_base.h
+++ b/src/rollout/rollout_controller_base.h
@@ -37,6 +37,8 @@
   /// Judges an ordered rollout's new version.
   Judgement orderJudgement(const RolloutSpec &spec, TimeMs now);
   std::vector<EvidenceStratum> strata(const RolloutSpec &spec, TimeMs now);
+  /// @returns requests per second to both versions, in the time that the reports cover.
+  double requestRate(const RolloutSpec &spec, TimeMs now);
   /// @returns the number of gates that have reported on a rollout within RecentReportTime.
   std::size_t reportingGates(const RolloutSpec &spec, TimeMs now) const;
   /// Drops the evidence of rollouts that are not in the list.
--- a/tests/order_test.cpp
+++ b/tests/order_test.cpp
@@ -81,6 +81,35 @@
   BOOST_TEST(controller.reportingGates(first, Now + RecentReportTime + 1) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_busy_service_is_not_taken_for_one_of_low_rate_as_its_evidence_is_short) {
+  constexpr TimeMs Now = 100000;
+  constexpr DurationMs Duration = 16000;
+  constexpr DurationMs Elapsed = 3000;
+  const RolloutSpec spec{
+      RolloutID("s.1"), ServiceName("s"), VersionLabel("v1"), VersionLabel("v2"), 0, 0};
+  const auto stageAfter = [&](std::uint64_t oldRequests, std::uint64_t newRequests) {
+    RolloutController controller;
+    EvidenceReport report{spec.ID, HostID("g1"), 1, 0, {}, 0};
+    for (std::uint64_t bucket = 0; bucket < Elapsed / EvidenceBucketMs; ++bucket) {
+      report.Bucket = bucket;
+      report.Counts[{RouteName("r"), spec.From}].Requests = oldRequests;
+      report.Counts[{RouteName("r"), spec.To}].Requests = newRequests;
+      controller.addReport(spec, report, Now - Elapsed + bucket * EvidenceBucketMs);
+    }
+    RolloutProgress progress = progressOf(1, RolloutPhase::Running, "v2");
+    progress.Duration = Duration;
+    progress.Stage = 1;
+    const double rate = controller.requestRate(spec, Now);
+    BOOST_TEST(rate == static_cast<double>(oldRequests + newRequests),
+               boost::test_tools::tolerance(0.01));
+    return nextOrderProgress({Verdict::Undecided, ""}, progress, Elapsed, Elapsed, rate)
+        .value_or(progress)
+        .Stage;
+  };
+  BOOST_TEST(stageAfter(168, 12) == 1U);
+  BOOST_TEST(stageAfter(18, 2) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_suspect_verdict_at_full_share_starts_one_more_comparison) {
   RolloutProgress progress = progressOf(1, RolloutPhase::Running, "v2");
   progress.Stage = 4;
