--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -74,9 +74,6 @@
   return std::hash<std::string>()(host) ^ incarnation;
 }
 
-/// Heartbeat intervals without a heartbeat after which the upstream gets no new requests.
-constexpr DurationMs MaxMissedHeartbeats = 4;
-
 DurationMs milliseconds(const Settings &values, const std::string &name) {
   return static_cast<DurationMs>(values.number(name));
 }
@@ -88,7 +85,7 @@
 ApplySettings reloadableSettings(const Settings &values) {
   ApplySettings settings;
   settings.LocalService = ServiceName(values.text("local-service"));
-  settings.HeartbeatTimeout = MaxMissedHeartbeats * milliseconds(values, "heartbeat-interval");
+  settings.HeartbeatInterval = milliseconds(values, "heartbeat-interval");
   settings.StopTime = milliseconds(values, "stop-time") * MsPerSecond;
   settings.RetrySlack = static_cast<double>(values.number("retry-slack"));
   return settings;
@@ -114,7 +111,7 @@
         absl::StrCat(traffic.GateIP, ":", values.number("management-port"))};
   const ApplySettings reloadable = reloadableSettings(values);
   traffic.LocalService = reloadable.LocalService;
-  traffic.HeartbeatTimeout = reloadable.HeartbeatTimeout;
+  traffic.HeartbeatInterval = reloadable.HeartbeatInterval;
   traffic.StopTime = reloadable.StopTime;
   traffic.RetrySlack = reloadable.RetrySlack;
   traffic.StoreAddress = values.text("store");
@@ -180,6 +177,28 @@
                            << absl::StrJoin(needRestart, ", "));
 }
 
+/// Period at which the settings file is checked for changes, which may come without a signal.
+constexpr timespec SettingsCheckPeriod = {1, 0};
+
+/// Reloads the settings at SIGHUP and when their file has changed, until the process is to end.
+/// @param signals SIGHUP and the signals that end the process; blocked.
+void followSettings(const ParsedSettings &start, const sigset_t &signals, TrafficMailbox &traffic,
+                    int argc, char **argv) {
+  Settings applied = start.Values;
+  std::string text = start.FileText;
+  while (true) {
+    const int signal = start.FilePath.empty()
+                           ? sigwaitinfo(&signals, nullptr)
+                           : sigtimedwait(&signals, nullptr, &SettingsCheckPeriod);
+    if (signal == SIGTERM || signal == SIGINT)
+      return;
+    const std::string latest = settingsFileText(start.FilePath).value_or(text);
+    const bool changed = std::exchange(text, latest) != latest;
+    if (changed || signal == SIGHUP)
+      reloadSettings(applied, traffic, argc, argv);
+  }
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -214,10 +233,7 @@
   }
   std::thread trafficThread([&traffic] { traffic.run(); });
   std::thread signalThread([&] {
-    Settings applied = values;
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
-      reloadSettings(applied, toTraffic, argc, argv);
+    followSettings(parsed, signals, toTraffic, argc, argv);
     toControl.put(DrainRequested{"signal"});
   });
   ControlSettings controlSetup = controlSettings(values, incarnation);
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -30,7 +30,7 @@
   /// Departures of the upstream are recorded by the control task and restored after a start.
   bool RecordsDepartures = false;
   HttpHeaderNames Http;
-  DurationMs HeartbeatTimeout = 0; ///< An upstream silent for this long gets no new requests.
+  DurationMs HeartbeatInterval = 0; ///< Of the upstream.
   DurationMs StopTime = 0; ///< Time limit for a drain, from its start to the end of the process.
   /// Retries that all nodes together may send to a service beyond the budgeted share of requests.
   double RetrySlack = 0;
@@ -56,6 +56,9 @@
   void setView(RoutingViewPtr view);
   /// @param handler invoked when a response states that the upstream leaves.
   void setLeavingHandler(std::function<void()> handler) { LeavingHandler = std::move(handler); }
+  /// @param handler invoked when the upstream is not the process at its address any more: another
+  /// one refuses a request for it, or its port refuses connections.
+  void setAbsentHandler(std::function<void()> handler) { AbsentHandler = std::move(handler); }
   /// Applies the announcement of the local upstream.
   /// @param address IP:port of the upstream.
   /// @param warmUpLeft remaining warm-up time of the upstream.
@@ -143,6 +146,7 @@
   Timer ReplacementTimer;
   std::uint32_t CrashChecks = 0; ///< Since the first of CutFingerprints was recorded.
   std::function<void()> LeavingHandler;
+  std::function<void()> AbsentHandler;
   std::string LeavingProcess; ///< Process whose responses stated that it leaves.
   double LoggedLimit = 0;     ///< Limit in the last event of the time line; 0: none.
   RequestLog Log;
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -47,7 +47,7 @@
 TrafficTask::TrafficTask(TrafficSettings settings, const Environment &environment,
                          TrafficMailbox &inbox, ControlMailbox &control)
     : Settings(std::move(settings)), Env(environment), Inbox(inbox), Control(control),
-      AnnouncedUpstream(Settings.HeartbeatTimeout), Caller(Settings.LocalService),
+      AnnouncedUpstream(Settings.HeartbeatInterval), Caller(Settings.LocalService),
       Base(makeTrafficBase()), WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
       Pool(Base.get(), Settings.MaxBody), StorePool(Base.get(), MaxStoreResponseBytes),
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
@@ -55,6 +55,7 @@
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
       ResponseTimer(Base.get(), [this] { releaseResponses(0, steadyClockMs()); }) {
   StartedAt = wallClockMs();
+  AnnouncedUpstream.setConfiguredService(Settings.LocalService);
   if (Settings.RecordsDepartures)
     AnnouncedUpstream.awaitDepartures();
   const auto wake = [](evutil_socket_t fd, short, void *arg) {
@@ -70,6 +71,7 @@
   });
   LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Stats, Control);
   LocalGate->setLeavingHandler([this] { handleLeaving(); });
+  LocalGate->setAbsentHandler([this] { AnnouncedUpstream.markAbsent(); });
   Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Stats);
   ManagementServer.reset(evhttp_new(Base.get()));
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
@@ -308,15 +310,34 @@
 }
 
 void TrafficTask::handle(ApplySettings &message) {
-  Settings.HeartbeatTimeout = message.HeartbeatTimeout;
+  Settings.HeartbeatInterval = message.HeartbeatInterval;
   Settings.StopTime = message.StopTime;
   Settings.RetrySlack = message.RetrySlack;
-  AnnouncedUpstream.setHeartbeatTimeout(message.HeartbeatTimeout);
+  AnnouncedUpstream.setHeartbeatInterval(message.HeartbeatInterval);
+  AnnouncedUpstream.setConfiguredService(message.LocalService);
   Ingress->updateRetryBudgets();
+  Settings.LocalService = message.LocalService;
   if (Caller.applySettings(message.LocalService))
     recordCallerChange("settings");
 }
 
+void TrafficTask::recordProcessChange(const std::optional<Announcement> &before,
+                                      const Announcement &heartbeat) {
+  const auto sameProcess = [&heartbeat](const std::optional<Announcement> &it) {
+    return it.has_value() && it->ID == heartbeat.ID && it->ProcessStart == heartbeat.ProcessStart;
+  };
+  const std::pair<UpstreamID, TimeMs> process{heartbeat.ID, heartbeat.ProcessStart};
+  if (sameProcess(before) || std::exchange(LastForeignProcess, process) == process)
+    return;
+  const bool believed = sameProcess(AnnouncedUpstream.current());
+  const std::string other = before.has_value() ? describe(*before) : "none";
+  Control.put(TrafficTimelineEvent{
+      "host", Settings.Host.str(),
+      absl::StrCat("heartbeat of another process: ", describe(heartbeat),
+                   believed ? "; it replaces " : "; not believed against ", other,
+                   "; the settings name ", Settings.LocalService.str())});
+}
+
 void TrafficTask::recordCallerChange(const std::string &source) {
   Control.put(TrafficTimelineEvent{
       "host", Settings.Host.str(),
@@ -377,10 +398,14 @@
 }
 
 ManagementResponse TrafficTask::handleManagement(const Announcement &announcement) {
-  if (AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs()) == HeartbeatResult::Changed)
+  const std::optional<Announcement> before = AnnouncedUpstream.current();
+  const HeartbeatResult result = AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs());
+  Stats.recordHeartbeat(result);
+  recordProcessChange(before, announcement);
+  if (result == HeartbeatResult::Changed)
     applyAnnouncement();
   awaitDepartures();
-  return acknowledge(AnnouncedUpstream.departure());
+  return acknowledge(AnnouncedUpstream.departureOf(announcement));
 }
 
 ManagementResponse TrafficTask::handleManagement(const Withdrawal &withdrawal) {
@@ -410,7 +435,7 @@
   const Announcement &current = *AnnouncedUpstream.current();
   const LocalUpstream upstream{current.Service, current.Version, current.Slots, current.ID.str(),
                                current.ProcessStart};
-  if (Caller.applyHeartbeat(processOf(upstream), upstream.Service))
+  if (Caller.applyHeartbeat(upstream.Service))
     recordCallerChange("heartbeat");
   const bool draining = !AnnouncedUpstream.acceptsWork() || GateClosed;
   LocalGate->setUpstream(upstream, current.Address, draining, current.WarmUpLeft);
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::uint16_t IngressPort = 27670;
 constexpr int Callers = 60;
+constexpr DurationMs HeartbeatInterval = 1250;
 
 TrafficSettings testSettings() {
   TrafficSettings settings;
@@ -30,7 +31,7 @@
   settings.ManagementAddresses = {"127.0.0.1:" + std::to_string(IngressPort + 2)};
   settings.StoreAddress = "127.0.0.1:1";
   settings.Secret = "a-secret-of-the-test";
-  settings.HeartbeatTimeout = 5 * MsPerSecond;
+  settings.HeartbeatInterval = HeartbeatInterval;
   settings.StopTime = 6 * MsPerSecond;
   settings.MaxBody = 10000;
   settings.MaxHeaderBytes = 4000;
@@ -150,12 +151,17 @@
   return view;
 }
 
+struct PlatformOptions {
+  bool RecordsDepartures = false;
+  std::string LocalService{}; ///< Named in the settings.
+  DurationMs HeartbeatInterval = ::HeartbeatInterval;
+};
+
 /// A traffic task on the platform, in a thread of its own.
 class PlatformTask {
 public:
-  explicit PlatformTask(bool recordsDepartures = false)
-      : Env(platform::platformEnvironment()),
-        Task(settingsOf(Env, recordsDepartures), Env, Inbox, Control) {
+  explicit PlatformTask(const PlatformOptions &options = {})
+      : Env(platform::platformEnvironment()), Task(settingsOf(Env, options), Env, Inbox, Control) {
     BOOST_REQUIRE(Task.listen());
     Loop = std::thread([this] { Task.run(); });
   }
@@ -168,10 +174,13 @@
   ControlMailbox Control;
 
 private:
-  static TrafficSettings settingsOf(const Environment &environment, bool recordsDepartures) {
+  static TrafficSettings settingsOf(const Environment &environment,
+                                    const PlatformOptions &options) {
     TrafficSettings settings = testSettings();
     settings.Http = environment.Http;
-    settings.RecordsDepartures = recordsDepartures;
+    settings.RecordsDepartures = options.RecordsDepartures;
+    settings.LocalService = ServiceName(options.LocalService);
+    settings.HeartbeatInterval = options.HeartbeatInterval;
     return settings;
   }
 
@@ -249,6 +258,11 @@
   // when the time limit of the first one ends.
   const int waiting = sendToGate("/2", "a", 4000);
   usleep(200000);
+  ApplySettings reload;
+  reload.LocalService = ServiceName("b");
+  reload.HeartbeatInterval = HeartbeatInterval;
+  task.Inbox.put(reload);
+  usleep(50000);
   sendHeartbeat("i-2", "b", 20);
   const std::string refusal = readHead(waiting);
   BOOST_TEST(refusal.find("HTTP/1.1 503 ") == 0U, refusal);
@@ -267,7 +281,7 @@
 
 // Guards against a departure that is acknowledged while only this process knows of it.
 BOOST_AUTO_TEST_CASE(departure_is_acknowledged_once_it_is_recorded_or_its_time_is_up) {
-  PlatformTask task(true);
+  PlatformTask task({.RecordsDepartures = true});
   task.Inbox.put(DeparturesRestored{});
   task.Inbox.put(DeparturesRestored{{}, true});
   sendHeartbeat("i-1", "a", 10);
@@ -298,7 +312,7 @@
 // Guards against a restarted node that serves an upstream which has left.
 BOOST_AUTO_TEST_CASE(late_heartbeat_after_a_restart_does_not_bring_back_an_upstream_that_left) {
   for (const bool left : {true, false}) {
-    PlatformTask task(true);
+    PlatformTask task({.RecordsDepartures = true});
     sendHeartbeat("i-1", "a", 10, 6);
     DeparturesRestored restored;
     if (left)
@@ -312,22 +326,86 @@
   }
 }
 
+/// Sends a request to the ingress, whose route leads to the gate of viewOfOneGate().
+/// @returns the header that the gate gets.
+std::string headAtGate(int gate) {
+  const int caller = connectToIngress();
+  sendText(caller, "GET /x HTTP/1.1\r\nHost: x\r\nCaller-Service: forged\r\n\r\n");
+  BOOST_REQUIRE(isConnected(gate, 2000));
+  const int connection = accept(gate, nullptr, nullptr);
+  std::string head = readHead(connection);
+  close(caller);
+  close(connection);
+  return head;
+}
+
 // Guards against requests that name the service of a server which another one has replaced.
 BOOST_AUTO_TEST_CASE(requests_name_the_service_that_runs_on_the_host_now) {
-  PlatformTask task;
+  constexpr DurationMs ShortInterval = 20;
+  PlatformTask task({.HeartbeatInterval = ShortInterval});
   task.Inbox.put(PublishView{viewOfOneGate()});
   const int gate = listenOn(UpstreamPort);
   int born = 0;
   for (const std::string service : {"a", "b"}) {
+    usleep(2 * ShortInterval * 1000);
     sendHeartbeat("i-" + service, service, ++born);
-    const int caller = connectToIngress();
-    sendText(caller, "GET /x HTTP/1.1\r\nHost: x\r\nCaller-Service: forged\r\n\r\n");
+    const std::string head = headAtGate(gate);
+    BOOST_TEST(head.find("caller-service: " + service + "\r\n") != std::string::npos, head);
+  }
+  close(gate);
+}
+
+// Guards against requests that name the service of an earlier server at the address, whose
+// heartbeat was held up.
+BOOST_AUTO_TEST_CASE(held_up_heartbeat_of_another_service_does_not_name_the_caller) {
+  for (const bool heldUpIsFirst : {true, false}) {
+    PlatformTask task({.LocalService = "b"});
+    task.Inbox.put(PublishView{viewOfOneGate()});
+    const int gate = listenOn(UpstreamPort);
+    if (!heldUpIsFirst)
+      sendHeartbeat("i-b", "b", 10);
+    // The clock of its host was ahead.
+    sendHeartbeat("i-a", "a", 20, 7);
+    for (int sequence = 2; sequence < 4; ++sequence) {
+      const std::string head = headAtGate(gate);
+      BOOST_TEST(head.find("caller-service: b\r\n") != std::string::npos, head);
+      sendHeartbeat("i-b", "b", 10, sequence);
+    }
+    // The living server gets the requests for its service.
+    const int request = sendToGate("/1", "b", 2000);
     BOOST_REQUIRE(isConnected(gate, 2000));
     const int connection = accept(gate, nullptr, nullptr);
     const std::string head = readHead(connection);
-    BOOST_TEST(head.find("caller-service: " + service + "\r\n") != std::string::npos, head);
-    close(caller);
+    BOOST_TEST(head.find("expected-instance: i-b\r\n") != std::string::npos, head);
+    close(request);
     close(connection);
+    close(gate);
   }
-  close(gate);
+}
+
+// Guards against the leaving of an earlier server that is taken for that of its successor.
+BOOST_AUTO_TEST_CASE(refusal_by_another_process_tells_that_it_is_there_and_nothing_more) {
+  PlatformTask task;
+  task.Inbox.put(PublishView{viewOfOneGate()});
+  const int upstream = listenOn(UpstreamPort);
+  sendHeartbeat("i-1", "s", 10);
+  const int request = sendToGate("/1", "s", 2000);
+  BOOST_REQUIRE(isConnected(upstream, 2000));
+  const int connection = accept(upstream, nullptr, nullptr);
+  readHead(connection);
+  sendText(connection, "HTTP/1.1 421 x\r\nRequest-Id: /1\r\nServer-Leaving: 1\r\n"
+                       "Server-Limit: 1\r\nContent-Length: 0\r\n\r\n");
+  const std::string refusal = readHead(request);
+  BOOST_TEST(refusal.find("x-jasmine-outcome: not-run") != std::string::npos, refusal);
+  BOOST_TEST(refusal.find(header::Leaving) == std::string::npos, refusal);
+  BOOST_TEST(refusal.find(header::Limit) == std::string::npos, refusal);
+  // The other process is believed at its first heartbeat.
+  sendHeartbeat("i-2", "t", 20);
+  const int next = sendToGate("/2", "t", 2000);
+  BOOST_REQUIRE(isConnected(upstream, 2000));
+  const int second = accept(upstream, nullptr, nullptr);
+  const std::string head = readHead(second);
+  BOOST_TEST(head.find("expected-instance: i-2\r\n") != std::string::npos, head);
+  for (const int fd : {request, connection, next, second, upstream})
+    close(fd);
 }
