Bound the bytes of messages that a process holds

Callers would see: a node that is ended by the platform for its memory, and all its requests with it, because upstreams answer without end, or callers do not read.

Cause: each limit was one of a message. A call may hold max-body (1 MiB), a connection of a caller 16 responses of it, and nothing bounded the sum.

HeldBytes is an account of what the connections of ingress, gate, upstream calls and store calls hold: received and unparsed, parsed, kept for a response or a retry, unsent. Above max-held (default 64 MiB, 1 MiB to 4 GiB) the connection that holds most in relation to its largest allowed message is cut first: so that a store's answer of 8 MiB isn't cut before the bodies that fill the memory. A cut call ends as one with an invalid response does, not run only if no byte was sent. A cut connection of a caller is closed within its response, which states its length. The cut is carried out from the event loop, by events that exist, so that no callback runs within another one. Each cut has a log line; held_bytes, held_bytes_peak and held_cuts_total are metrics. Complete bodies are no longer copied from the parser into a buffer.

A body that the ingress sends on counts twice while it is unsent, as it is kept for a retry and queued on the connection.

--- a/src/event_util.cpp
+++ b/src/event_util.cpp
@@ -45,6 +45,20 @@
   return buf;
 }
 
+EvBufferPtr adoptBuffer(std::string text) {
+  constexpr std::size_t MaxCopiedBytes = 4096;
+  if (text.size() <= MaxCopiedBytes)
+    return makeBuffer(text);
+  EvBufferPtr buf = makeBuffer();
+  auto owned = std::make_unique<std::string>(std::move(text));
+  const auto release = [](const void *, std::size_t, void *arg) {
+    delete static_cast<std::string *>(arg);
+  };
+  if (evbuffer_add_reference(buf.get(), owned->data(), owned->size(), release, owned.get()) == 0)
+    owned.release();
+  return buf;
+}
+
 std::string textOf(evbuffer *buf) {
   std::string text(evbuffer_get_length(buf), '\0');
   evbuffer_copyout(buf, text.data(), text.size());
--- a/src/event_util.h
+++ b/src/event_util.h
@@ -52,6 +52,8 @@
 
 EvBufferPtr makeBuffer();
 EvBufferPtr makeBuffer(std::string_view text);
+/// Makes a buffer of a text without copying it, unless it is short.
+EvBufferPtr adoptBuffer(std::string text);
 /// Copies a buffer's content without draining it.
 std::string textOf(evbuffer *buf);
 
--- a/src/http/http_pool.cpp
+++ b/src/http/http_pool.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 struct HttpPool::Connection {
-  explicit Connection(std::size_t maxBody) : Reader(maxBody) {}
+  Connection(HeldBytes *held, std::size_t maxBody)
+      : Reader(maxBody), Held(held, maxBody, [this] { return cut(*this); }) {}
 
   HttpPool *Pool = nullptr;
   std::string Address;
@@ -46,6 +47,7 @@
   TimeMs IdleUntil = 0;
   bool Connected = false;
   bool Retired = false; ///< Not to be used by another call.
+  HeldBytes::Share Held;
 };
 
 struct HttpPool::Call {
@@ -63,8 +65,8 @@
   std::string EchoedValue; ///< Empty: any response is accepted.
 };
 
-HttpPool::HttpPool(event_base *base, std::size_t maxBody)
-    : Base(base), MaxBody(maxBody), Sweeper(base, [this] { sweep(); }) {
+HttpPool::HttpPool(event_base *base, std::size_t maxBody, HeldBytes *held)
+    : Base(base), MaxBody(maxBody), Held(held), Sweeper(base, [this] { sweep(); }) {
   Sweeper.start(SweepPeriod);
 }
 
@@ -143,7 +145,9 @@
 
 void HttpPool::onBytesOut(evbuffer *buf, const evbuffer_cb_info *info, void *arg) {
   static_cast<void>(buf);
-  static_cast<Connection *>(arg)->BytesOut += info->n_deleted;
+  auto *connection = static_cast<Connection *>(arg);
+  connection->BytesOut += info->n_deleted;
+  updateHeld(*connection);
 }
 
 void HttpPool::onRead(bufferevent *bev, void *arg) {
@@ -190,7 +194,7 @@
   const std::optional<SocketAddress> target = socketAddressOf(address);
   if (!target.has_value())
     return nullptr;
-  auto owned = std::make_unique<Connection>(MaxBody);
+  auto owned = std::make_unique<Connection>(Held, MaxBody);
   owned->Pool = this;
   owned->Address = address;
   owned->Socket.reset(bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE));
@@ -270,8 +274,10 @@
 
 void HttpPool::handleReadResult(Connection &connection, ResponseReadResult result) {
   Call &call = *connection.Current;
-  if (std::holds_alternative<ResponseIncomplete>(result))
+  if (std::holds_alternative<ResponseIncomplete>(result)) {
+    updateHeld(connection);
     return;
+  }
   if (std::holds_alternative<ResponseInvalid>(result)) {
     fail(call, false);
     return;
@@ -296,7 +302,8 @@
   static_cast<void>(fd);
   static_cast<void>(events);
   auto *call = static_cast<Call *>(arg);
-  const bool connected = call->Conn != nullptr && call->Conn->Connected;
+  const bool connected =
+      call->Conn != nullptr && call->Conn->Connected && !call->Conn->Held.isCut();
   if (connected && call->RemainingTimeout != 0 && !call->ConnectFailed) {
     const timeval tv = toTimeval(std::exchange(call->RemainingTimeout, 0));
     event_add(call->Timeout.get(), &tv);
@@ -307,7 +314,8 @@
     event_add(call->Timeout.get(), &tv);
     return;
   }
-  call->Pool->fail(*call, !call->ConnectFailed);
+  const bool cut = call->Conn != nullptr && call->Conn->Held.isCut();
+  call->Pool->fail(*call, !call->ConnectFailed && !cut);
 }
 
 void HttpPool::finish(Call &call, ParsedResponse response) {
@@ -329,6 +337,7 @@
   if (response.KeepAlive && !extra && !unsent && !connection->Retired) {
     connection->IdleUntil = steadyClockMs() + keepAliveTimeout(result.Headers, DefaultIdleTimeout);
     Idle[connection->Address].push_back(connection);
+    updateHeld(*connection);
   } else {
     closeLater(connection);
   }
@@ -383,12 +392,31 @@
   return it != Calls.end() && hasSent(*it->second);
 }
 
+void HttpPool::updateHeld(Connection &connection) {
+  if (connection.Current == nullptr) {
+    connection.Held.set(0);
+    return;
+  }
+  bufferevent *socket = connection.Socket.get();
+  connection.Held.set(evbuffer_get_length(bufferevent_get_input(socket)) +
+                      evbuffer_get_length(bufferevent_get_output(socket)) +
+                      connection.Reader.held());
+}
+
+std::string HttpPool::cut(Connection &connection) {
+  // The timeout event fails the call from the event loop.
+  bufferevent_disable(connection.Socket.get(), EV_READ | EV_WRITE);
+  event_active(connection.Current->Timeout.get(), EV_TIMEOUT, 0);
+  return absl::StrCat("call to ", connection.Address);
+}
+
 void HttpPool::closeLater(Connection *connection) {
   const auto it = Connections.find(connection);
   if (it == Connections.end())
     return;
   std::erase(Idle[connection->Address], connection);
   --OpenCounts[connection->Address];
+  connection->Held.set(0);
   bufferevent_setcb(connection->Socket.get(), nullptr, nullptr, nullptr, nullptr);
   bufferevent_disable(connection->Socket.get(), EV_READ | EV_WRITE);
   PendingClose.push_back(std::move(it->second));
--- a/src/http/http_pool.h
+++ b/src/http/http_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "event_util.h"
+#include "http/held_bytes.h"
 #include "http/http_response_reader.h"
 
 #include <event2/bufferevent.h>
@@ -57,7 +58,10 @@
 /// to the next request.
 class HttpPool {
 public:
-  HttpPool(event_base *base, std::size_t maxBody);
+  /// @param maxBody limit of a response's body, bytes.
+  /// @param held account of the bytes that the connections hold; may be null. A call that it cuts
+  /// fails like one whose response is invalid.
+  HttpPool(event_base *base, std::size_t maxBody, HeldBytes *held = nullptr);
   ~HttpPool();
   HttpPool(const HttpPool &) = delete;
   HttpPool &operator=(const HttpPool &) = delete;
@@ -101,6 +105,8 @@
   static bool hasSent(const Call &call);
   void end(Call &call, HttpResult result);
   void closeLater(Connection *connection);
+  static void updateHeld(Connection &connection);
+  static std::string cut(Connection &connection);
   void sweep();
   static void onRead(bufferevent *bev, void *arg);
   static void onEvent(bufferevent *bev, short events, void *arg);
@@ -109,6 +115,7 @@
 
   event_base *Base;
   std::size_t MaxBody;
+  HeldBytes *Held;
   HttpCallID LastID = 0;
   std::map<HttpCallID, std::unique_ptr<Call>> Calls;
   std::map<Connection *, std::unique_ptr<Connection>> Connections;
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -65,6 +65,7 @@
 struct HttpRequestReader::Parser {
   http::request_parser<http::string_body> Beast;
   bool HeaderProcessed = false;
+  std::size_t HeaderBytes = 0;
   evhttp_cmd_type Method = EVHTTP_REQ_GET;
   HeaderFields Fields;
 };
@@ -75,6 +76,10 @@
 
 bool HttpRequestReader::isMidRequest() const { return Current && Current->Beast.got_some(); }
 
+std::size_t HttpRequestReader::held() const {
+  return Current ? Current->HeaderBytes + Current->Beast.get().body().size() : 0;
+}
+
 std::optional<RequestRejected> HttpRequestReader::processHeader() {
   Current->HeaderProcessed = true;
   Current->Beast.eager(true);
@@ -99,7 +104,7 @@
   parsed.Request.MethodName = message.method_string().to_string();
   parsed.Request.Path = message.target().to_string();
   parsed.Request.Headers = std::move(Current->Fields);
-  parsed.Request.Body = makeBuffer(message.body());
+  parsed.Request.Body = adoptBuffer(std::move(message.body()));
   Current.reset();
   return parsed;
 }
@@ -117,6 +122,8 @@
     const std::size_t used = feedParser(Current->Beast, in, !Current->HeaderProcessed, ec);
     if (ec)
       return RequestRejected{statusOf(ec)};
+    if (!Current->HeaderProcessed)
+      Current->HeaderBytes += used;
     if (Current->Beast.is_header_done() && !Current->HeaderProcessed) {
       if (const std::optional<RequestRejected> rejected = processHeader(); rejected.has_value())
         return *rejected;
--- a/src/http/http_request_reader.h
+++ b/src/http/http_request_reader.h
@@ -67,6 +67,8 @@
   RequestReadResult read(evbuffer *in);
   /// @returns whether part of a request was read.
   bool isMidRequest() const;
+  /// @returns bytes of the current request that were read from the connection and are kept.
+  std::size_t held() const;
 
 private:
   struct Parser;
--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -27,6 +27,7 @@
 
 void HttpResponseReader::begin(bool bodiless) {
   Bodiless = bodiless;
+  HeaderBytes = 0;
   Current = std::make_unique<Parser>();
   Current->Beast.skip(bodiless);
   Current->Beast.header_limit(MaxResponseHeaderBytes);
@@ -39,16 +40,19 @@
   response.Status = static_cast<int>(message.result_int());
   response.KeepAlive = Current->Beast.keep_alive();
   response.Headers = fieldsOf(message);
-  response.Body = makeBuffer(message.body());
+  response.Body = adoptBuffer(std::move(message.body()));
   return response;
 }
 
 ResponseReadResult HttpResponseReader::read(evbuffer *in) {
   while (evbuffer_get_length(in) != 0) {
     boost::system::error_code ec;
-    const std::size_t used = feedParser(Current->Beast, in, !Current->Beast.is_header_done(), ec);
+    const bool inHeader = !Current->Beast.is_header_done();
+    const std::size_t used = feedParser(Current->Beast, in, inHeader, ec);
     if (ec)
       return ResponseInvalid{};
+    if (inHeader)
+      HeaderBytes += used;
     // In eager mode the parser would continue with the body in the same call and lose the error for
     // a Content-Length above the body limit, so eager mode starts only after the header.
     Current->Beast.eager(Current->Beast.is_header_done());
@@ -65,6 +69,10 @@
   return ResponseIncomplete{};
 }
 
+std::size_t HttpResponseReader::held() const {
+  return Current ? HeaderBytes + Current->Beast.get().body().size() : 0;
+}
+
 ResponseReadResult HttpResponseReader::readEof() {
   boost::system::error_code ec;
   if (!Current->Beast.got_some())
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -40,6 +40,8 @@
   void begin(bool bodiless);
   /// Parses available bytes and removes the consumed ones from the buffer.
   ResponseReadResult read(evbuffer *in);
+  /// @returns bytes of the current response that were read from the connection and are kept.
+  std::size_t held() const;
   /// Handles the end of the connection, which completes a response without a length.
   ResponseReadResult readEof();
 
@@ -50,6 +52,7 @@
 
   std::size_t MaxBody;
   bool Bodiless = false;
+  std::size_t HeaderBytes = 0; ///< Of the current response.
   std::unique_ptr<Parser> Current;
 };
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -70,11 +70,13 @@
   bool IsHttp10 = false;
   bool Ready = false;
   HttpResponse Response;
+  std::size_t Kept = 0; ///< Bytes of the request's body and of those kept for its response.
 };
 
 struct HttpServer::Connection {
   Connection(HttpServer &server, bufferevent *socket)
-      : Server(&server), Socket(socket), Reader(server.Limits) {}
+      : Server(&server), Socket(socket), Reader(server.Limits),
+        Held(server.Held, server.Limits.MaxBody, [this] { return cut(*this); }) {}
 
   HttpServer *Server;
   BuffereventPtr Socket;
@@ -85,12 +87,14 @@
   bool ReadingDone = false;                 ///< No further requests are read.
   bool Advancing = false;                   ///< Guards advancePipeline() against re-entry.
   bool Lingering = false;                   ///< The last response is queued; input is discarded.
+  HeldBytes::Share Held;
 };
 
 HttpServer::HttpServer(event_base *base, const HttpLimits &limits, RequestHandler onRequest,
-                       DisconnectHandler onDisconnect)
+                       DisconnectHandler onDisconnect, HeldBytes *held)
     : Base(base), Limits(limits), OnRequest(std::move(onRequest)),
-      OnDisconnect(std::move(onDisconnect)), AcceptTimer(base, [this] { resumeAccepting(); }) {}
+      OnDisconnect(std::move(onDisconnect)), Held(held),
+      AcceptTimer(base, [this] { resumeAccepting(); }) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -123,6 +127,7 @@
   auto connection = std::make_unique<Connection>(*this, socket);
   connection->OverLimit = Connections.size() >= Limits.MaxConnections;
   bufferevent_setcb(socket, onRead, onWritten, onEvent, connection.get());
+  evbuffer_add_cb(bufferevent_get_output(socket), onOutput, connection.get());
   bufferevent_setwatermark(socket, EV_READ, 0, Limits.MaxHeaderBytes + ReadAheadBytes);
   const timeval tv = toTimeval(Limits.ReadTimeout);
   bufferevent_set_timeouts(socket, &tv, &tv);
@@ -200,6 +205,40 @@
   connection->Server->advancePipeline(*connection);
 }
 
+void HttpServer::onOutput(evbuffer *buf, const evbuffer_cb_info *info, void *arg) {
+  static_cast<void>(buf);
+  static_cast<void>(info);
+  updateHeld(*static_cast<Connection *>(arg));
+}
+
+void HttpServer::updateHeld(Connection &connection) {
+  bufferevent *socket = connection.Socket.get();
+  std::size_t bytes = evbuffer_get_length(bufferevent_get_input(socket)) +
+                      evbuffer_get_length(bufferevent_get_output(socket)) +
+                      connection.Reader.held();
+  for (const PipelineEntry &entry : connection.Pipeline) {
+    const evbuffer *body = entry.Response.Body.get();
+    bytes += entry.Kept + (body == nullptr ? 0 : evbuffer_get_length(body));
+  }
+  if (connection.NextRequest.has_value())
+    bytes += evbuffer_get_length(connection.NextRequest->Request.Body.get());
+  connection.Held.set(bytes);
+}
+
+std::string HttpServer::cut(Connection &connection) {
+  bufferevent *socket = connection.Socket.get();
+  connection.ReadingDone = true;
+  sockaddr_in peer{};
+  socklen_t size = sizeof(peer);
+  char address[INET_ADDRSTRLEN] = "unknown";
+  if (getpeername(bufferevent_getfd(socket), reinterpret_cast<sockaddr *>(&peer), &size) == 0)
+    evutil_inet_ntop(AF_INET, &peer.sin_addr, address, sizeof(address));
+  bufferevent_disable(socket, EV_READ | EV_WRITE);
+  // The event closes the connection from the event loop.
+  bufferevent_trigger_event(socket, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+  return absl::StrCat("connection of caller ", address, ":", ntohs(peer.sin_port));
+}
+
 void HttpServer::onWritten(bufferevent *bev, void *arg) {
   static_cast<void>(bev);
   auto *connection = static_cast<Connection *>(arg);
@@ -276,6 +315,7 @@
   }
   const RequestID id = entry.ID;
   parsed.Request.ID = id;
+  entry.Kept = evbuffer_get_length(parsed.Request.Body.get());
   connection.Pipeline.push_back(std::move(entry));
   Pending.emplace(id, &connection);
   // An unexpected error ends the request that caused it, and not the process.
@@ -317,6 +357,7 @@
   readRequests(connection);
   flushResponses(connection);
   connection.Advancing = false;
+  updateHeld(connection);
 }
 
 void HttpServer::flushResponses(Connection &connection) {
@@ -380,11 +421,24 @@
       continue;
     entry.Response = std::move(response);
     entry.Ready = true;
+    entry.Kept = 0;
     break;
   }
   advancePipeline(connection);
 }
 
+void HttpServer::setKept(RequestID id, std::size_t bytes) {
+  const auto it = Pending.find(id);
+  if (it == Pending.end())
+    return;
+  Connection &connection = *it->second;
+  for (PipelineEntry &entry : connection.Pipeline) {
+    if (entry.ID == id)
+      entry.Kept = bytes;
+  }
+  updateHeld(connection);
+}
+
 bool HttpServer::isCallerDisconnected(RequestID id) const {
   const auto it = Pending.find(id);
   return it == Pending.end() || peerClosed(bufferevent_getfd(it->second->Socket.get()));
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,6 +1,7 @@
 /// @file http_server.h HTTP/1.1 server with asynchronous responses.
 #pragma once
 
+#include "http/held_bytes.h"
 #include "http/http_request_reader.h"
 
 #include <event2/listener.h>
@@ -28,8 +29,10 @@
   /// Called when the connection of an unanswered request is closed.
   using DisconnectHandler = std::function<void(RequestID)>;
 
+  /// @param held account of the bytes that the connections hold; may be null. A connection that it
+  /// cuts is closed.
   HttpServer(event_base *base, const HttpLimits &limits, RequestHandler onRequest,
-             DisconnectHandler onDisconnect);
+             DisconnectHandler onDisconnect, HeldBytes *held = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -46,6 +49,8 @@
   bool hasSentAll() const;
   /// Responds to a request. No effect if its connection has been closed.
   void reply(RequestID id, HttpResponse response);
+  /// Counts bytes that are kept for the response to a request to what its connection holds.
+  void setKept(RequestID id, std::size_t bytes);
   /// @returns whether the caller of a request has closed its connection, even if the event loop has
   /// not processed the close yet.
   bool isCallerDisconnected(RequestID id) const;
@@ -76,7 +81,10 @@
   void advancePipeline(Connection &connection);
   void handleWritten(Connection &connection);
   void closeConnection(Connection &connection);
+  static void updateHeld(Connection &connection);
+  static std::string cut(Connection &connection);
   static void onRead(bufferevent *bev, void *arg);
+  static void onOutput(evbuffer *buf, const evbuffer_cb_info *info, void *arg);
   static void onWritten(bufferevent *bev, void *arg);
   static void onEvent(bufferevent *bev, short events, void *arg);
 
@@ -84,6 +92,7 @@
   HttpLimits Limits;
   RequestHandler OnRequest;
   DisconnectHandler OnDisconnect;
+  HeldBytes *Held;
   RequestID LastID = 0;
   bool Closing = false; ///< Connections are closed after their last pending response.
   bool Paused = false;  ///< Connections wait in the kernel's queue.
--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -62,6 +62,9 @@
     {"log-format", SettingType::Choice, 0, 0, "text", "", "Log format", "text,json"},
     {"max-body", SettingType::Number, 1024, 64 << 20, "1048576", "bytes",
      "Maximum body size of a request or response"},
+    {"max-held", SettingType::Number, 1 << 20, 4L << 30, "67108864", "bytes",
+     "Maximum of all messages that the process holds; above it, the connections that hold most are "
+     "cut"},
     {"max-headers", SettingType::Number, 512, 1 << 20, "16384", "bytes",
      "Maximum header size of a request"},
     {"max-connections", SettingType::Number, 1, 100000, "4096", "connections",
@@ -117,6 +120,7 @@
   traffic.StoreAddress = values.text("store");
   traffic.Secret = values.text("secret");
   traffic.MaxBody = static_cast<std::size_t>(values.number("max-body"));
+  traffic.MaxHeld = static_cast<std::size_t>(values.number("max-held"));
   traffic.MaxHeaderBytes = static_cast<std::size_t>(values.number("max-headers"));
   traffic.MaxConnections = static_cast<std::size_t>(values.number("max-connections"));
   traffic.MaxInFlight = static_cast<std::size_t>(values.number("max-in-flight"));
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -114,14 +114,14 @@
 };
 
 GateTask::GateTask(event_base *base, const TrafficSettings &settings, HttpPool &pool,
-                   Metrics &metrics, ControlMailbox &control)
+                   HeldBytes &held, Metrics &metrics, ControlMailbox &control)
     : Settings(settings), Pool(pool), Stats(metrics), Control(control),
       Server(
           base,
           {settings.MaxBody, settings.MaxHeaderBytes * 2, settings.MaxConnections,
            ListenerReadTimeout},
           [this](HttpRequest request) { handleRequest(std::move(request)); },
-          [this](RequestID id) { handleDisconnect(id); }),
+          [this](RequestID id) { handleDisconnect(id); }, &held),
       QueueTimer(base, [this] { tick(); }), EvidenceTimer(base, [this] { sendEvidence(); }),
       CrashCheckTimer(base, [this] { checkForCrash(); }),
       ReplacementTimer(base, [this] { endReplacedCalls(false); }), Log("gate") {
@@ -482,6 +482,8 @@
   context.ReachedUpstream = true;
   context.UpstreamAddress = UpstreamAddress;
   const RequestID id = context.Request.ID;
+  // The call takes the request's body.
+  Server.setKept(id, 0);
   context.Call =
       Pool.call(UpstreamAddress, makeUpstreamCall(context, now),
                 [this, id](HttpResult result) { handleUpstreamResult(id, std::move(result)); });
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -39,14 +39,17 @@
   std::size_t MaxHeaderBytes = 0;
   std::size_t MaxConnections = 0;
   std::size_t MaxInFlight = 0;
+  /// Bytes of messages that the process may hold.
+  std::size_t MaxHeld = 64 << 20;
   std::uint64_t Seed = 0;
 };
 
 /// Owns the gate's sockets and requests. Gate, KeyTable and planKeyClaim() make its decisions.
 class GateTask {
 public:
-  GateTask(event_base *base, const TrafficSettings &settings, HttpPool &pool, Metrics &metrics,
-           ControlMailbox &control);
+  /// @param held account of the bytes that the gate's connections hold.
+  GateTask(event_base *base, const TrafficSettings &settings, HttpPool &pool, HeldBytes &held,
+           Metrics &metrics, ControlMailbox &control);
   ~GateTask();
   GateTask(const GateTask &) = delete;
   GateTask &operator=(const GateTask &) = delete;
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -135,13 +135,14 @@
 };
 
 IngressTask::IngressTask(event_base *base, const TrafficSettings &settings,
-                         const CallerService &caller, HttpPool &pool, Metrics &metrics)
+                         const CallerService &caller, HttpPool &pool, HeldBytes &held,
+                         Metrics &metrics)
     : Settings(settings), Caller(caller), Pool(pool), Stats(metrics),
       Server(
           base,
           {settings.MaxBody, settings.MaxHeaderBytes, settings.MaxConnections, ListenerReadTimeout},
           [this](HttpRequest request) { handleRequest(std::move(request)); },
-          [this](RequestID id) { handleDisconnect(id); }),
+          [this](RequestID id) { handleDisconnect(id); }, &held),
       Random(settings.Seed), Log("ingress") {}
 
 IngressTask::~IngressTask() = default;
@@ -360,6 +361,9 @@
     const bool failed = result.Status >= FirstServerError && context.Route.Idempotent;
     if (failed && mayRetry(context, attemptResult, now)) {
       context.FallbackResponse = std::move(result);
+      Server.setKept(context.Request.ID,
+                     evbuffer_get_length(context.Request.Body.get()) +
+                         evbuffer_get_length(context.FallbackResponse->Body.get()));
       retry(context, "upstream-failed", now);
       return;
     }
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -19,8 +19,9 @@
 class IngressTask {
 public:
   /// @param caller service that runs on this host.
+  /// @param held account of the bytes that the ingress's connections hold.
   IngressTask(event_base *base, const TrafficSettings &settings, const CallerService &caller,
-              HttpPool &pool, Metrics &metrics);
+              HttpPool &pool, HeldBytes &held, Metrics &metrics);
   ~IngressTask();
   IngressTask(const IngressTask &) = delete;
   IngressTask &operator=(const IngressTask &) = delete;
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -98,6 +98,10 @@
   addGauge(out, "evidence_failovers", Control.EvidenceReports.Failovers);
   addGauge(out, "evidence_reports_lost", Control.EvidenceReports.Lost);
   addGauge(out, "control_longest_stall_ms", Control.LongestStall);
+  addGauge(out, "held_bytes", Held.Total);
+  addGauge(out, "held_bytes_peak", Held.Peak);
+  absl::StrAppend(&out, "# TYPE jasmineloom_held_cuts_total counter\n",
+                  "jasmineloom_held_cuts_total ", Held.Cuts, "\n");
   addGauge(out, "traffic_longest_stall_ms", LongestStall);
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -15,6 +15,13 @@
 
 namespace jasmineloom {
 
+/// Bytes of messages that the process holds.
+struct HeldFigures {
+  std::size_t Total = 0;
+  std::size_t Peak = 0;
+  std::uint64_t Cuts = 0; ///< Connections cut because of the limit.
+};
+
 /// Latency quantiles published for each route.
 constexpr std::array<double, 3> PublishedQuantiles = {0.5, 0.9, 0.99};
 
@@ -41,6 +48,8 @@
   /// @param longest longest lateness of the traffic task's event loop.
   void setLongestStall(DurationMs longest) { LongestStall = longest; }
 
+  void setHeldBytes(const HeldFigures &figures) { Held = figures; }
+
   /// @returns all metrics in the Prometheus text format.
   std::string text() const;
 
@@ -66,6 +75,7 @@
   std::uint64_t LimitRefusals = 0;
   double UpstreamLimit = 0;
   DurationMs LongestStall = 0;
+  HeldFigures Held;
   ControlFigures Control;
 };
 
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -49,7 +49,8 @@
     : Settings(std::move(settings)), Env(environment), Inbox(inbox), Control(control),
       AnnouncedUpstream(Settings.HeartbeatInterval), Caller(Settings.LocalService),
       Base(makeTrafficBase()), WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
-      Pool(Base.get(), Settings.MaxBody), StorePool(Base.get(), MaxStoreResponseBytes),
+      Held(Settings.MaxHeld), Pool(Base.get(), Settings.MaxBody, &Held),
+      StorePool(Base.get(), MaxStoreResponseBytes, &Held),
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
       StopTimer(Base.get(), [this] { advanceStop(); }),
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
@@ -69,10 +70,10 @@
     const std::uint64_t one = 1;
     static_cast<void>(write(fd, &one, sizeof(one)) > 0);
   });
-  LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Stats, Control);
+  LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Held, Stats, Control);
   LocalGate->setLeavingHandler([this] { handleLeaving(); });
   LocalGate->setAbsentHandler([this] { AnnouncedUpstream.markAbsent(); });
-  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Stats);
+  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Held, Stats);
   ManagementServer.reset(evhttp_new(Base.get()));
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
                                                          EVHTTP_REQ_POST | EVHTTP_REQ_DELETE |
@@ -383,6 +384,7 @@
 ManagementResponse TrafficTask::handleManagement(const HealthQuery &) { return {200, "ok\n"}; }
 
 ManagementResponse TrafficTask::handleManagement(const MetricsQuery &) {
+  Stats.setHeldBytes({Held.total(), Held.peak(), Held.cuts()});
   return {200, Stats.text()};
 }
 
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -113,6 +113,7 @@
   int WakeFd = -1; ///< Readable when the inbox has messages.
   EventPtr WakeEvent;
   Metrics Stats;
+  HeldBytes Held; ///< Of all HTTP connections except those of the management port.
   HttpPool Pool;
   HttpPool StorePool;
   std::unique_ptr<GateTask> LocalGate;
