End a call of the store that never ends by itself

Callers would see: changes that do not come into force at nodes whose call to the store is kept, and memory that is not given back.

Cause: a call with TimeoutOnSilence was kept as long as any byte came, so that interim responses or single bytes kept it for ever.

Such a call now has a limit of its whole time as well, its timeout and 30 s, in which a response of the largest size comes at 280 KB/s.

Shown by store_that_sends_without_end_does_not_keep_a_call of http_contract_test: interim responses, and single bytes of a body, each 20 ms, at a silence limit of 0.2 s and a limit of 0.5 s. A slow response that ends in time still passes whole, by the existing case.

--- a/src/http/http_pool.cpp
+++ b/src/http/http_pool.cpp
@@ -61,6 +61,7 @@
   bool ConnectFailed = false;
   DurationMs RemainingTimeout = 0; ///< Rest of the call's timeout after the connect timeout.
   DurationMs SilenceTimeout = 0;   ///< 0: silence of the peer does not matter.
+  TimeMs EndsAt = 0;               ///< End of the TotalTimeout; 0: none.
   std::string EchoedField;
   std::string EchoedValue; ///< Empty: any response is accepted.
 };
@@ -256,6 +257,7 @@
   ++connection->Calls;
   connection->HasReceived = false;
   entry.SilenceTimeout = call.TimeoutOnSilence ? call.Timeout : 0;
+  entry.EndsAt = call.TotalTimeout == 0 ? 0 : steadyClockMs() + call.TotalTimeout;
   entry.BytesBefore = connection->BytesOut;
   const bool connecting = !connection->Connected && call.ConnectTimeout != 0;
   const DurationMs initialTimeout =
@@ -310,9 +312,14 @@
     return;
   }
   if (connected && call->SilenceTimeout != 0 && std::exchange(call->Conn->HasReceived, false)) {
-    const timeval tv = toTimeval(call->SilenceTimeout);
-    event_add(call->Timeout.get(), &tv);
-    return;
+    const TimeMs now = steadyClockMs();
+    const bool ended = call->EndsAt != 0 && now >= call->EndsAt;
+    if (!ended) {
+      const DurationMs left = call->EndsAt == 0 ? call->SilenceTimeout : call->EndsAt - now;
+      const timeval tv = toTimeval(std::min(left, call->SilenceTimeout));
+      event_add(call->Timeout.get(), &tv);
+      return;
+    }
   }
   const bool cut = call->Conn != nullptr && call->Conn->Held.isCut();
   call->Pool->fail(*call, !call->ConnectFailed && !cut);
--- a/src/http/http_pool.h
+++ b/src/http/http_pool.h
@@ -28,6 +28,8 @@
   /// Timeout limits the silence of the peer and not the whole call, for responses whose size has no
   /// relation to the time that they may take.
   bool TimeoutOnSilence = false;
+  /// With TimeoutOnSilence: limit of the whole call, whatever the peer sends; 0: none.
+  DurationMs TotalTimeout = 0;
   /// Name of the header field that the peer copies from the request into the response. A response
   /// with a different value belongs to an earlier request on the connection, as does one without
   /// the field once a response on the connection had it: it is dropped, and the call keeps waiting
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t MaxStoreResponseBytes = 8 << 20;
+/// Time in which the store sends a response once it has begun.
+constexpr DurationMs MaxStoreTransferTime = 30 * MsPerSecond;
 constexpr DurationMs DrainCheckPeriod = 20;
 constexpr DurationMs HeartbeatCheckPeriod = 250;
 constexpr DurationMs StopCheckPeriod = 10;
@@ -137,6 +139,7 @@
   }
   call.Timeout = message.Timeout;
   call.TimeoutOnSilence = true;
+  call.TotalTimeout = message.Timeout + MaxStoreTransferTime;
   StorePool.call(Settings.StoreAddress, std::move(call),
                  [this, number = message.Number](const HttpResult &result) {
                    // The other connections may have gone silent with this one.
--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -552,6 +552,54 @@
   BOOST_TEST(callPeer(pool, base.get(), Timeout, PeerPort, true).Complete);
 }
 
+BOOST_AUTO_TEST_CASE(store_that_sends_without_end_does_not_keep_a_call) {
+  constexpr DurationMs Silence = 200;
+  constexpr DurationMs Total = 500;
+  constexpr DurationMs Guard = 3 * MsPerSecond;
+  constexpr DurationMs Pause = 20;
+  for (const std::string unit : {"HTTP/1.1 103 Early Hints\r\n\r\n", "H"}) {
+    const EventBasePtr base = makePreciseBase();
+    HttpPool pool(base.get(), 1000);
+    const int listener = listenOnPeerPort();
+    std::thread peer([listener, unit] {
+      const int fd = accept(listener, nullptr, nullptr);
+      // The head of a body without end, if it is not made of interim responses.
+      const std::string head = unit.size() == 1 ? "HTTP/1.1 200 OK\r\n\r\n" : "";
+      ssize_t n = ::send(fd, head.data(), head.size(), MSG_NOSIGNAL);
+      while (n >= 0) {
+        n = ::send(fd, unit.data(), unit.size(), MSG_NOSIGNAL);
+        usleep(Pause * 1000);
+      }
+      close(fd);
+    });
+    HttpCall call;
+    call.Path = "/x";
+    call.Timeout = Silence;
+    call.TimeoutOnSilence = true;
+    call.TotalTimeout = Total;
+    std::optional<HttpResult> result;
+    const auto ended = [&](HttpResult received) {
+      result = std::move(received);
+      event_base_loopbreak(base.get());
+    };
+    const HttpCallID id =
+        pool.call("127.0.0.1:" + std::to_string(PeerPort), std::move(call), ended);
+    const timeval guard = toTimeval(Guard);
+    event_base_loopexit(base.get(), &guard);
+    event_base_dispatch(base.get());
+    BOOST_TEST(result.has_value(), unit);
+    if (result.has_value()) {
+      BOOST_TEST(!result->Complete);
+      BOOST_TEST(result->TimedOut);
+      BOOST_TEST(result->BytesSent);
+    }
+    pool.cancel(id);
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    peer.join();
+    close(listener);
+  }
+}
+
 struct ResponseCase {
   const char *Name;
   std::string Text;
