Bound what the store's watch and the management port may hold

Callers would see: a node that is ended for its memory when the store of the native environment answers a watch without end, or a process on the host sends a request without end to the management port.

Cause: both are connections of libevent's HTTP code, whose limits of head and body are off unless they are set. It keeps a chunk until it is complete, and the line of a chunk's size without any limit.

The watch now takes part in the account of held bytes, with the allowance of a store response, and has a limit of 64 KiB for its head. The management port has limits of 64 KiB for the head and 256 KiB for the body.

Shown by two cases of traffic_task_test, max-held 1 MiB: a head, fields, a chunk size and a chunk without end on the watch, a head and a body at the management port.

The management port is not in the account: it has no limit of connections.

--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -18,6 +18,9 @@
 /// Time in which the store sends a response once it has begun.
 constexpr DurationMs MaxStoreTransferTime = 30 * MsPerSecond;
 constexpr DurationMs DrainCheckPeriod = 20;
+/// Limits of a request at the management port; a heartbeat has under 1 KiB.
+constexpr int MaxManagementHeaderBytes = 64 * 1024;
+constexpr int MaxManagementBodyBytes = 256 * 1024;
 constexpr DurationMs HeartbeatCheckPeriod = 250;
 constexpr DurationMs StopCheckPeriod = 10;
 /// Time in which the event loop reads what callers had sent before the task stops.
@@ -26,6 +29,8 @@
 /// waited for them.
 constexpr DurationMs MaxStopTime = 200;
 constexpr int WatchTimeoutSeconds = 3600;
+/// Limit of the header of the watch's response.
+constexpr int MaxWatchHeaderBytes = 64 * 1024;
 /// Time after which a departure is acknowledged even if it is not recorded: an upstream takes an
 /// acknowledgement within a second.
 constexpr DurationMs MaxDepartureWait = 700;
@@ -80,6 +85,8 @@
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
                                                          EVHTTP_REQ_POST | EVHTTP_REQ_DELETE |
                                                          EVHTTP_REQ_HEAD);
+  evhttp_set_max_headers_size(ManagementServer.get(), MaxManagementHeaderBytes);
+  evhttp_set_max_body_size(ManagementServer.get(), MaxManagementBodyBytes);
   evhttp_set_gencb(ManagementServer.get(), onManagement, this);
   startHeartbeatTimer();
 }
@@ -170,6 +177,16 @@
   WatchConnection = evhttp_connection_base_new(Base.get(), nullptr, host.c_str(),
                                                static_cast<std::uint16_t>(port));
   evhttp_connection_set_timeout(WatchConnection, WatchTimeoutSeconds);
+  evhttp_connection_set_max_headers_size(WatchConnection, MaxWatchHeaderBytes);
+  // A chunk is passed on once it is complete, and its size line has no limit of its own.
+  bufferevent *socket = evhttp_connection_get_bufferevent(WatchConnection);
+  WatchHeld = std::make_unique<HeldBytes::Share>(&Held, MaxStoreResponseBytes, [this, socket] {
+    bufferevent_disable(socket, EV_READ | EV_WRITE);
+    bufferevent_trigger_event(socket, BEV_EVENT_READING | BEV_EVENT_ERROR,
+                              BEV_TRIG_DEFER_CALLBACKS);
+    return absl::StrCat("watch of the store ", Settings.StoreAddress);
+  });
+  evbuffer_add_cb(bufferevent_get_input(socket), onWatchInput, this);
   evhttp_request *request = evhttp_request_new(onWatchEnd, this);
   evhttp_request_set_chunked_cb(request, onWatchChunk);
   evkeyvalq *headers = evhttp_request_get_output_headers(request);
@@ -189,6 +206,11 @@
   static_cast<TrafficTask *>(arg)->Control.put(StoreWatchEvent{false});
 }
 
+void TrafficTask::onWatchInput(evbuffer *buf, const evbuffer_cb_info *info, void *arg) {
+  static_cast<void>(info);
+  static_cast<TrafficTask *>(arg)->WatchHeld->set(evbuffer_get_length(buf));
+}
+
 void TrafficTask::onWatchEnd(evhttp_request *request, void *arg) {
   static_cast<void>(request);
   auto *task = static_cast<TrafficTask *>(arg);
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -99,6 +99,7 @@
   void sendManagement(evhttp_request *request, const ManagementResponse &response);
   static void onManagement(evhttp_request *request, void *arg);
   static void onWatchChunk(evhttp_request *request, void *arg);
+  static void onWatchInput(evbuffer *buf, const evbuffer_cb_info *info, void *arg);
   static void onWatchEnd(evhttp_request *request, void *arg);
 
   TrafficSettings Settings;
@@ -120,6 +121,7 @@
   std::unique_ptr<IngressTask> Ingress;
   std::unique_ptr<evhttp, HttpDeleter> ManagementServer;
   evhttp_connection *WatchConnection = nullptr;
+  std::unique_ptr<HeldBytes::Share> WatchHeld; ///< Received bytes of the watch.
   bool WatchOpen = false;
   bool Ready = false;
   bool Draining = false;
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::uint16_t IngressPort = 27670;
 constexpr int Callers = 60;
+constexpr std::size_t MaxHeld = 1 << 20;
 constexpr DurationMs HeartbeatInterval = 1250;
 
 TrafficSettings testSettings() {
@@ -155,6 +156,7 @@
   bool RecordsDepartures = false;
   std::string LocalService{}; ///< Named in the settings.
   DurationMs HeartbeatInterval = ::HeartbeatInterval;
+  std::string StoreAddress = "127.0.0.1:1";
 };
 
 /// A traffic task on the platform, in a thread of its own.
@@ -181,6 +183,8 @@
     settings.RecordsDepartures = options.RecordsDepartures;
     settings.LocalService = ServiceName(options.LocalService);
     settings.HeartbeatInterval = options.HeartbeatInterval;
+    settings.StoreAddress = options.StoreAddress;
+    settings.MaxHeld = MaxHeld;
     return settings;
   }
 
@@ -409,3 +413,73 @@
   for (const int fd : {request, connection, next, second, upstream})
     close(fd);
 }
+
+namespace {
+
+/// Sends a text over and over until the peer ends the connection.
+/// @returns whether it did so before many times MaxHeld, and more than sockets buffer, were sent.
+bool isEndedByPeer(int fd, const std::string &text) {
+  constexpr std::size_t MaxSent = 16 * MaxHeld;
+  std::string block;
+  while (block.size() < MaxHeld / 16)
+    block += text;
+  for (std::size_t sent = 0; sent < MaxSent;) {
+    const ssize_t n = ::send(fd, block.data(), block.size(), MSG_NOSIGNAL);
+    if (n <= 0)
+      return true;
+    sent += static_cast<std::size_t>(n);
+  }
+  return false;
+}
+
+struct EndlessCase {
+  const char *Name;
+  std::string Prefix;
+  std::string Unit;
+};
+
+} // namespace
+
+// Guards against a store whose watch fills the memory of the process.
+BOOST_AUTO_TEST_CASE(watch_of_a_store_that_sends_without_end_is_ended) {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<EndlessCase> cases = {
+      {"head", "HTTP/1.1 200 OK\r\nX: ", "y"},
+      {"header fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk", chunked + "FFFFFFF\r\n", "z"},
+  };
+  for (const EndlessCase &it : cases) {
+    BOOST_TEST_CONTEXT(it.Name) {
+      const int store = listenOn(UpstreamPort);
+      PlatformTask task({.StoreAddress = absl::StrCat("127.0.0.1:", UpstreamPort)});
+      task.Inbox.put(StoreWatchStart{"{}"});
+      BOOST_REQUIRE(isConnected(store, 2000));
+      const int connection = accept(store, nullptr, nullptr);
+      readHead(connection);
+      sendText(connection, it.Prefix);
+      const bool ended = isEndedByPeer(connection, it.Unit);
+      BOOST_TEST(ended);
+      if (ended)
+        BOOST_TEST(receive<StoreWatchEvent>(task.Control).Ended);
+      close(connection);
+      close(store);
+    }
+  }
+}
+
+// Guards against a request at the management port that fills the memory of the process.
+BOOST_AUTO_TEST_CASE(management_request_without_end_is_ended) {
+  const std::vector<EndlessCase> cases = {
+      {"head", "PUT /instances/i HTTP/1.1\r\nX: ", "y"},
+      {"body", "PUT /instances/i HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", "z"},
+  };
+  PlatformTask task;
+  for (const EndlessCase &it : cases) {
+    const int fd = connectTo(ManagementPort);
+    sendText(fd, it.Prefix);
+    BOOST_TEST(isEndedByPeer(fd, it.Unit), it.Name);
+    close(fd);
+  }
+  sendHeartbeat("i-1", "s", 10);
+}
