--- a/src/http/http_pool.h
+++ b/src/http/http_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "event_util.h"
+#include "http/held_bytes.h"
 #include "http/http_response_reader.h"
 
 #include <event2/bufferevent.h>
@@ -27,6 +28,8 @@
   /// Timeout limits the silence of the peer and not the whole call, for responses whose size has no
   /// relation to the time that they may take.
   bool TimeoutOnSilence = false;
+  /// With TimeoutOnSilence: limit of the whole call, whatever the peer sends; 0: none.
+  DurationMs TotalTimeout = 0;
   /// Name of the header field that the peer copies from the request into the response. A response
   /// with a different value belongs to an earlier request on the connection, as does one without
   /// the field once a response on the connection had it: it is dropped, and the call keeps waiting
@@ -57,7 +60,10 @@
 /// to the next request.
 class HttpPool {
 public:
-  HttpPool(event_base *base, std::size_t maxBody);
+  /// @param maxBody limit of a response's body, bytes.
+  /// @param held account of the bytes that the connections hold; may be null. A call that it cuts
+  /// fails like one whose response is invalid.
+  HttpPool(event_base *base, std::size_t maxBody, HeldBytes *held = nullptr);
   ~HttpPool();
   HttpPool(const HttpPool &) = delete;
   HttpPool &operator=(const HttpPool &) = delete;
@@ -101,6 +107,8 @@
   static bool hasSent(const Call &call);
   void end(Call &call, HttpResult result);
   void closeLater(Connection *connection);
+  static void updateHeld(Connection &connection);
+  static std::string cut(Connection &connection);
   void sweep();
   static void onRead(bufferevent *bev, void *arg);
   static void onEvent(bufferevent *bev, short events, void *arg);
@@ -109,6 +117,7 @@
 
   event_base *Base;
   std::size_t MaxBody;
+  HeldBytes *Held;
   HttpCallID LastID = 0;
   std::map<HttpCallID, std::unique_ptr<Call>> Calls;
   std::map<Connection *, std::unique_ptr<Connection>> Connections;
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -15,7 +15,12 @@
 namespace {
 
 constexpr std::size_t MaxStoreResponseBytes = 8 << 20;
+/// Time in which the store sends a response once it has begun.
+constexpr DurationMs MaxStoreTransferTime = 30 * MsPerSecond;
 constexpr DurationMs DrainCheckPeriod = 20;
+/// Limits of a request at the management port; a heartbeat has under 1 KiB.
+constexpr int MaxManagementHeaderBytes = 64 * 1024;
+constexpr int MaxManagementBodyBytes = 256 * 1024;
 constexpr DurationMs HeartbeatCheckPeriod = 250;
 constexpr DurationMs StopCheckPeriod = 10;
 /// Time in which the event loop reads what callers had sent before the task stops.
@@ -24,6 +29,8 @@
 /// waited for them.
 constexpr DurationMs MaxStopTime = 200;
 constexpr int WatchTimeoutSeconds = 3600;
+/// Limit of the header of the watch's response.
+constexpr int MaxWatchHeaderBytes = 64 * 1024;
 /// Time after which a departure is acknowledged even if it is not recorded: an upstream takes an
 /// acknowledgement within a second.
 constexpr DurationMs MaxDepartureWait = 700;
@@ -49,7 +56,8 @@
     : Settings(std::move(settings)), Env(environment), Inbox(inbox), Control(control),
       AnnouncedUpstream(Settings.HeartbeatInterval), Caller(Settings.LocalService),
       Base(makeTrafficBase()), WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
-      Pool(Base.get(), Settings.MaxBody), StorePool(Base.get(), MaxStoreResponseBytes),
+      Held(Settings.MaxHeld), Pool(Base.get(), Settings.MaxBody, &Held),
+      StorePool(Base.get(), MaxStoreResponseBytes, &Held),
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
       StopTimer(Base.get(), [this] { advanceStop(); }),
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
@@ -69,14 +77,16 @@
     const std::uint64_t one = 1;
     static_cast<void>(write(fd, &one, sizeof(one)) > 0);
   });
-  LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Stats, Control);
+  LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Held, Stats, Control);
   LocalGate->setLeavingHandler([this] { handleLeaving(); });
   LocalGate->setAbsentHandler([this] { AnnouncedUpstream.markAbsent(); });
-  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Stats);
+  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Held, Stats);
   ManagementServer.reset(evhttp_new(Base.get()));
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
                                                          EVHTTP_REQ_POST | EVHTTP_REQ_DELETE |
                                                          EVHTTP_REQ_HEAD);
+  evhttp_set_max_headers_size(ManagementServer.get(), MaxManagementHeaderBytes);
+  evhttp_set_max_body_size(ManagementServer.get(), MaxManagementBodyBytes);
   evhttp_set_gencb(ManagementServer.get(), onManagement, this);
   startHeartbeatTimer();
 }
@@ -136,6 +146,7 @@
   }
   call.Timeout = message.Timeout;
   call.TimeoutOnSilence = true;
+  call.TotalTimeout = message.Timeout + MaxStoreTransferTime;
   StorePool.call(Settings.StoreAddress, std::move(call),
                  [this, number = message.Number](const HttpResult &result) {
                    // The other connections may have gone silent with this one.
@@ -166,6 +177,16 @@
   WatchConnection = evhttp_connection_base_new(Base.get(), nullptr, host.c_str(),
                                                static_cast<std::uint16_t>(port));
   evhttp_connection_set_timeout(WatchConnection, WatchTimeoutSeconds);
+  evhttp_connection_set_max_headers_size(WatchConnection, MaxWatchHeaderBytes);
+  // A chunk is passed on once it is complete, and its size line has no limit of its own.
+  bufferevent *socket = evhttp_connection_get_bufferevent(WatchConnection);
+  WatchHeld = std::make_unique<HeldBytes::Share>(&Held, MaxStoreResponseBytes, [this, socket] {
+    bufferevent_disable(socket, EV_READ | EV_WRITE);
+    bufferevent_trigger_event(socket, BEV_EVENT_READING | BEV_EVENT_ERROR,
+                              BEV_TRIG_DEFER_CALLBACKS);
+    return absl::StrCat("watch of the store ", Settings.StoreAddress);
+  });
+  evbuffer_add_cb(bufferevent_get_input(socket), onWatchInput, this);
   evhttp_request *request = evhttp_request_new(onWatchEnd, this);
   evhttp_request_set_chunked_cb(request, onWatchChunk);
   evkeyvalq *headers = evhttp_request_get_output_headers(request);
@@ -185,6 +206,11 @@
   static_cast<TrafficTask *>(arg)->Control.put(StoreWatchEvent{false});
 }
 
+void TrafficTask::onWatchInput(evbuffer *buf, const evbuffer_cb_info *info, void *arg) {
+  static_cast<void>(info);
+  static_cast<TrafficTask *>(arg)->WatchHeld->set(evbuffer_get_length(buf));
+}
+
 void TrafficTask::onWatchEnd(evhttp_request *request, void *arg) {
   static_cast<void>(request);
   auto *task = static_cast<TrafficTask *>(arg);
@@ -383,6 +409,7 @@
 ManagementResponse TrafficTask::handleManagement(const HealthQuery &) { return {200, "ok\n"}; }
 
 ManagementResponse TrafficTask::handleManagement(const MetricsQuery &) {
+  Stats.setHeldBytes({Held.total(), Held.peak(), Held.cuts()});
   return {200, Stats.text()};
 }
 
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -99,6 +99,7 @@
   void sendManagement(evhttp_request *request, const ManagementResponse &response);
   static void onManagement(evhttp_request *request, void *arg);
   static void onWatchChunk(evhttp_request *request, void *arg);
+  static void onWatchInput(evbuffer *buf, const evbuffer_cb_info *info, void *arg);
   static void onWatchEnd(evhttp_request *request, void *arg);
 
   TrafficSettings Settings;
@@ -113,12 +114,14 @@
   int WakeFd = -1; ///< Readable when the inbox has messages.
   EventPtr WakeEvent;
   Metrics Stats;
+  HeldBytes Held; ///< Of all HTTP connections except those of the management port.
   HttpPool Pool;
   HttpPool StorePool;
   std::unique_ptr<GateTask> LocalGate;
   std::unique_ptr<IngressTask> Ingress;
   std::unique_ptr<evhttp, HttpDeleter> ManagementServer;
   evhttp_connection *WatchConnection = nullptr;
+  std::unique_ptr<HeldBytes::Share> WatchHeld; ///< Received bytes of the watch.
   bool WatchOpen = false;
   bool Ready = false;
   bool Draining = false;
