Ask for departures also of an upstream whose start lies in the future

Callers would see: requests at an upstream that has left, after its node had acknowledged that and was restarted with the clock set back (DRAIN).

Cause: whether the upstream is older than its node is told by the wall clock. Set back between the two starts, it makes an older upstream look younger, and the store is not asked. The class of the incident: times of a clock that may be set back, compared as an order.

A start that lies ahead of the clock shows that it was set back; such an upstream counts as older. A step back by less than the time since both starts can't be told so and remains.

--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -390,7 +390,9 @@
   if (AnnouncedUpstream.restored() || !upstream.has_value())
     return;
   // An upstream that started with this process or later can't have departed before.
-  const bool isOlder = upstream->ProcessStart + MaxStartDifference < StartedAt;
+  // The clock may have been set back since an earlier start.
+  const bool isOlder = upstream->ProcessStart + MaxStartDifference < StartedAt ||
+                       upstream->ProcessStart > wallClockMs() + MaxStartDifference;
   if (isOlder && !StoreAsked) {
     StoreAsked = true;
     Control.put(DeparturesNeeded{});
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -82,7 +82,7 @@
 
 /// Sends a heartbeat of an upstream with one slot and reads the response.
 /// @param sequence rises with each heartbeat of a process.
-void sendHeartbeat(const std::string &id, const std::string &service, int born, int sequence = 1,
+void sendHeartbeat(const std::string &id, const std::string &service, TimeMs born, int sequence = 1,
                    const std::string &state = "ready") {
   const std::string body =
       absl::StrCat(R"({"born":)", born, R"(,"address":"127.0.0.1:)", UpstreamPort,
@@ -385,6 +385,19 @@
   }
 }
 
+// Guards against a node that forgets an acknowledged departure because the clock was set back.
+BOOST_AUTO_TEST_CASE(departures_are_asked_for_when_the_upstream_starts_in_the_future) {
+  PlatformTask task({.RecordsDepartures = true});
+  sendHeartbeat("i-1", "a", wallClockMs() + 10 * MsPerSecond, 6);
+  receive<DeparturesNeeded>(task.Control);
+  DeparturesRestored restored;
+  restored.Departures.push_back({UpstreamID("i-1"), wallClockMs() + 20 * MsPerSecond});
+  restored.FromStore = true;
+  task.Inbox.put(std::move(restored));
+  task.Inbox.put(DeparturesRestored{});
+  BOOST_TEST(receive<UpstreamAnnounced>(task.Control).Draining);
+}
+
 /// Sends a request to the ingress, whose route leads to the gate of viewOfOneGate().
 /// @returns the header that the gate gets.
 std::string headAtGate(int gate) {
