--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -62,7 +62,7 @@
     {"log-format", SettingType::Choice, 0, 0, "text", "", "Log format", "text,json"},
     {"max-body", SettingType::Number, 1024, 64 << 20, "1048576", "bytes",
      "Maximum body size of a request or response"},
-    {"max-held", SettingType::Number, 1 << 20, 4L << 30, "67108864", "bytes",
+    {"max-held", SettingType::Number, 1 << 20, 4L << 30, "50331648", "bytes",
      "Maximum of all messages that the process holds; above it, the connections that hold most are "
      "cut"},
     {"max-headers", SettingType::Number, 512, 1 << 20, "16384", "bytes",
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -40,7 +40,7 @@
   std::size_t MaxConnections = 0;
   std::size_t MaxInFlight = 0;
   /// Bytes of messages that the process may hold.
-  std::size_t MaxHeld = 64 << 20;
+  std::size_t MaxHeld = 48 << 20;
   std::uint64_t Seed = 0;
 };
 
