--- a/src/event_util.cpp
+++ b/src/event_util.cpp
@@ -55,7 +55,7 @@
     delete static_cast<std::string *>(arg);
   };
   if (evbuffer_add_reference(buf.get(), owned->data(), owned->size(), release, owned.get()) == 0)
-    owned.release();
+    static_cast<void>(owned.release());
   return buf;
 }
 
