Look at the caller that both upstreams have seen last in upstream_changes

Cause, by the node's log: names_caller took either upstream's last caller, so that "and again" passed on the value that one of them still had from an earlier check, before the file's change was followed. The next check overwrote the file with a broken one, and the node rightly went on with the service of before it.

Both upstreams must have seen the service now, which a value of before can't pass.

--- a/tests/upstream_changes.sh
+++ b/tests/upstream_changes.sh
@@ -26,9 +26,9 @@
 }
 
 caller_at() { curl -s "127.0.0.1:$(node_port "$1" 4)/standin/stats" | awk '/^last-caller/ { print $2 }'; }
-names_caller() { # SERVICE: a request that begins at node 2 names this service
+names_caller() { # SERVICE: the last request at each upstream, which began at node 2, names this service
   answers "127.0.0.1:$(node_port 2 0)/lookups/caller" || return 1
-  [ "$(caller_at 1)" = "$1" ] || [ "$(caller_at 3)" = "$1" ]
+  [ "$(caller_at 1)" = "$1" ] && [ "$(caller_at 3)" = "$1" ]
 }
 
 start_store
