Give admission, balancing and routing data their own folders, and define the new objects

Cause: src/traffic held the choice of servers, admission, routing data and all tasks, and gate_task.cpp the work of a request, of the upstream and of the peers in one.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -1,9 +1,9 @@
 /// @file decision_bench.cpp Cost of decisions, memory use and message sizes at the design size of
 /// the mesh.
+#include "admission/gate_base.h"
+#include "balance/placement.h"
 #include "mesh/mesh_node.h"
-#include "traffic/gate_base.h"
 #include "traffic/key_table.h"
-#include "traffic/placement.h"
 #include "wire_func.h"
 
 #include <capnp/message.h>
--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -10,6 +10,8 @@
   initialVersion @1 :Text;
   # Upstream version that receives the traffic when the service is first declared; only rollouts change it later.
   # Empty: the version that most of the service's upstreams run.
+  warmUpMs @2 :UInt32;            # Time after its start in which an upstream is warming up; 0: not stated.
+  warmUpPerSecond @3 :Float64;    # Requests per second that an upstream takes while it warms up; 0: no limit.
 }
 
 struct Route {
@@ -23,6 +25,16 @@
   split @7 :List(SplitPart);  # Shares of the requests by service; empty: all go to service.
   attempts @8 :UInt32 = 4;    # Most upstreams that one request may be sent to.
   objectiveMs @9 :UInt32;     # Latency objective of callers; 0: none.
+  needsKey @10 :Bool;         # Callers must present the key of a workspace.
+  largeBody @11 :Bool;        # Bodies are large: a request is sent where it can run at once.
+}
+
+struct Workspace {
+  name @0 :Text;
+  keys @1 :List(Data);        # Digests of its keys.
+  worth @2 :UInt32;           # Priority of its requests, before the route's; 0: the route's.
+  ratePerSecond @3 :Float64;  # Quota over all nodes; 0: none.
+  burst @4 :Float64;          # Requests beyond the rate.
 }
 
 struct SplitPart {
@@ -42,6 +54,7 @@
 struct Declarations {
   services @0 :List(Service);
   routes @1 :List(Route);
+  workspaces @2 :List(Workspace);
 }
 
 struct ConfigObject {
@@ -49,6 +62,7 @@
     service @0 :Service;
     route @1 :Route;
     rollout @2 :Rollout;
+    workspace @3 :Workspace;
   }
 }
 
@@ -103,6 +117,7 @@
   handedOver @11 :Bool;
   upstream @12 :Text;
   departed @13 :Text;  # Last process of the upstream that has left or drains; empty: none known.
+  capacity @14 :UInt32;  # CPU of the host, thousandths of a core; 0: not known.
 }
 
 struct ConfigUpdate {
@@ -130,6 +145,14 @@
   suspectUntilMs @7 :UInt64;
   order @8 :UInt64;
   durationMs @9 :UInt64;
+  era @10 :UInt64;        # Era of the store in which the order was read.
+}
+
+struct Evacuation {
+  dataCentre @0 :Text;
+  era @1 :UInt64;         # Of the store.
+  revision @2 :UInt64;    # Store revision at which the state was read.
+  active @3 :Bool;        # False: taken back.
 }
 
 struct SubtreeSummary {
@@ -154,6 +177,12 @@
   unused2 @12 :Bool;
   joining @13 :Bool;           # The sender is a child of the receiver and sends it a summary.
   seenIncarnation @14 :UInt64; # Incarnation of the receiver that seenCursor belongs to.
+  evacuations @15 :List(Evacuation);
+  clockMs @16 :UInt64;         # The sender's clock, for the receiver to echo.
+  echoMs @17 :UInt64;          # Latest clock of the receiver that the sender has seen; 0: none.
+  proofAgeMs @18 :UInt32 = 0xffffffff;  # Age of the proof that proofVersion was the newest; the maximum: none.
+  proofVersion @19 :UInt64;
+  proofEra @20 :UInt64;        # Era of the store that proved it.
 }
 
 struct VersionCounts {
--- a/src/traffic/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -1,5 +1,5 @@
 /// @file gate_base.cpp Admission control in front of the local upstream.
-#include "traffic/gate_base.h"
+#include "admission/gate_base.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/traffic/gate_base.h
+++ b/src/admission/gate_base.h
@@ -1,9 +1,8 @@
 /// @file gate_base.h Admission control in front of the local upstream.
 #pragma once
 
-#include "traffic/request_limit.h"
-#include "traffic/response_check.h"
-#include "traffic/traffic_type.h"
+#include "admission/request_limit.h"
+#include "routing/outcome_type.h"
 
 #include <map>
 #include <optional>
--- a/src/traffic/request_limit.cpp
+++ b/src/admission/request_limit.cpp
@@ -1,5 +1,5 @@
 /// @file request_limit.cpp Limit of an upstream's requests per second.
-#include "traffic/request_limit.h"
+#include "admission/request_limit.h"
 
 #include <algorithm>
 
--- a/src/traffic/request_limit.h
+++ b/src/admission/request_limit.h
@@ -3,8 +3,25 @@
 
 #include "ids_type.h"
 
+#include <variant>
+
 namespace jasmineloom {
 
+/// The response does not tell whether the upstream has a limit.
+struct NoLimitStatement {
+  bool operator==(const NoLimitStatement &) const = default;
+};
+/// The upstream has no limit, or no longer has one.
+struct LimitLifted {
+  bool operator==(const LimitLifted &) const = default;
+};
+/// The upstream takes this many requests per second from all nodes together.
+struct LimitNamed {
+  double PerSecond = 0;
+  bool operator==(const LimitNamed &) const = default;
+};
+using LimitStatement = std::variant<NoLimitStatement, LimitLifted, LimitNamed>;
+
 /// Token bucket that keeps the requests to an upstream within the rate that it names.
 class RequestLimit {
 public:
--- a/src/traffic/placement.cpp
+++ b/src/balance/placement.cpp
@@ -1,5 +1,5 @@
 /// @file placement.cpp Load balancing: chooses the upstream of a request from observed load.
-#include "traffic/placement.h"
+#include "balance/placement.h"
 
 #include "mesh/tree_func.h"
 #include "rollout/rollout_func.h"
--- a/src/traffic/placement.h
+++ b/src/balance/placement.h
@@ -1,7 +1,7 @@
 /// @file placement.h Load balancing: chooses the upstream of a request from observed load.
 #pragma once
 
-#include "traffic/routing_view.h"
+#include "routing/routing_view.h"
 
 #include <random>
 #include <set>
--- a/src/config/config_func.cpp
+++ b/src/config/config_func.cpp
@@ -9,6 +9,8 @@
 #include <capnp/serialize.h>
 #include <xxhash.h>
 
+#include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace jasmineloom {
@@ -50,15 +52,20 @@
   return absl::OkStatus();
 }
 
+bool isAmount(double value) { return std::isfinite(value) && value >= 0; }
+
 /// Validates one object and its references to other objects of the snapshot.
 struct ObjectValidator {
   const Snapshot &Config;
   std::set<std::string> &Prefixes; ///< Host and prefix of each route validated so far.
   std::set<ServiceName> &ServicesInRollout;
+  std::set<KeyDigest> &Keys; ///< Of all workspaces validated so far.
 
   absl::Status operator()(const ServiceSpec &spec) const {
     if (absl::Status status = checkName("service", spec.Name.str()); !status.ok())
       return status;
+    if (!isAmount(spec.WarmUpPerSecond))
+      return invalid("service", spec.Name.str(), "warmUpPerSecond must not be negative");
     return absl::OkStatus();
   }
 
@@ -122,11 +129,26 @@
                      absl::StrCat("service \"", spec.Service.str(), "\" has another rollout"));
     return absl::OkStatus();
   }
+
+  absl::Status operator()(const WorkspaceSpec &spec) const {
+    const std::string &name = spec.Name.str();
+    if (absl::Status status = checkName("workspace", name); !status.ok())
+      return status;
+    if (!isAmount(spec.RatePerSecond) || !isAmount(spec.Burst))
+      return invalid("workspace", name, "ratePerSecond and burst must not be negative");
+    for (const KeyDigest &key : spec.Keys) {
+      if (!Keys.insert(key).second)
+        return invalid("workspace", name, "one of its keys is listed twice");
+    }
+    return absl::OkStatus();
+  }
 };
 
 void writeService(wire::Service::Builder to, const ServiceSpec &spec) {
   to.setName(spec.Name.str());
   to.setInitialVersion(spec.Version.str());
+  to.setWarmUpMs(static_cast<std::uint32_t>(spec.WarmUpTime));
+  to.setWarmUpPerSecond(spec.WarmUpPerSecond);
 }
 
 void writeRoute(wire::Route::Builder to, const RouteSpec &spec) {
@@ -139,6 +161,8 @@
   to.setHost(spec.Host);
   to.setAttempts(spec.Attempts);
   to.setObjectiveMs(static_cast<std::uint32_t>(spec.Objective));
+  to.setNeedsKey(spec.NeedsKey);
+  to.setLargeBody(spec.LargeBody);
   auto split = to.initSplit(static_cast<unsigned>(spec.Split.size()));
   unsigned n = 0;
   for (const SplitPart &part : spec.Split) {
@@ -147,10 +171,22 @@
   }
 }
 
+void writeWorkspace(wire::Workspace::Builder to, const WorkspaceSpec &spec) {
+  to.setName(spec.Name.str());
+  to.setWorth(spec.Worth);
+  to.setRatePerSecond(spec.RatePerSecond);
+  to.setBurst(spec.Burst);
+  auto keys = to.initKeys(static_cast<unsigned>(spec.Keys.size()));
+  unsigned n = 0;
+  for (const KeyDigest &key : spec.Keys)
+    keys.set(n++, kj::arrayPtr(key.data(), key.size()));
+}
+
 std::string text(capnp::Text::Reader from) { return {from.cStr(), from.size()}; }
 
 ServiceSpec readService(wire::Service::Reader from) {
-  return {ServiceName(text(from.getName())), VersionLabel(text(from.getInitialVersion()))};
+  return {ServiceName(text(from.getName())), VersionLabel(text(from.getInitialVersion())),
+          from.getWarmUpMs(), from.getWarmUpPerSecond()};
 }
 
 RouteSpec readRoute(wire::Route::Reader from) {
@@ -164,23 +200,42 @@
   spec.Host = text(from.getHost());
   spec.Attempts = from.getAttempts();
   spec.Objective = from.getObjectiveMs();
+  spec.NeedsKey = from.getNeedsKey();
+  spec.LargeBody = from.getLargeBody();
   for (auto part : limitedList(from.getSplit(), MaxSplitParts))
     spec.Split.push_back({ServiceName(text(part.getService())), part.getWeight()});
   return spec;
 }
 
+WorkspaceSpec readWorkspace(wire::Workspace::Reader from) {
+  WorkspaceSpec spec;
+  spec.Name = WorkspaceName(text(from.getName()));
+  spec.Worth = from.getWorth();
+  spec.RatePerSecond = from.getRatePerSecond();
+  spec.Burst = from.getBurst();
+  for (const auto digest : limitedList(from.getKeys(), MaxListedObjects)) {
+    KeyDigest key{};
+    KJ_REQUIRE(digest.size() == key.size(), "the message has a key digest of another size");
+    std::copy(digest.begin(), digest.end(), key.begin());
+    spec.Keys.push_back(key);
+  }
+  return spec;
+}
+
 /// Serialises an object to its Cap'n Proto message.
 struct ObjectWriter {
   wire::ConfigObject::Builder To;
   void operator()(const ServiceSpec &spec) { writeService(To.initService(), spec); }
   void operator()(const RouteSpec &spec) { writeRoute(To.initRoute(), spec); }
   void operator()(const RolloutSpec &spec) { writeRollout(To.initRollout(), spec); }
+  void operator()(const WorkspaceSpec &spec) { writeWorkspace(To.initWorkspace(), spec); }
 };
 
 struct KeyVisitor {
   ObjectKey operator()(const ServiceSpec &spec) const { return serviceKey(spec.Name); }
   ObjectKey operator()(const RouteSpec &spec) const { return routeKey(spec.Name); }
   ObjectKey operator()(const RolloutSpec &spec) const { return rolloutKey(spec.ID); }
+  ObjectKey operator()(const WorkspaceSpec &spec) const { return workspaceKey(spec.Name); }
 };
 
 } // namespace
@@ -189,6 +244,8 @@
 ObjectKey routeKey(const RouteName &name) { return ObjectKey("route/" + name.str()); }
 ObjectKey rolloutKey(const RolloutID &id) { return ObjectKey("rollout/" + id.str()); }
 
+ObjectKey workspaceKey(const WorkspaceName &name) { return ObjectKey("workspace/" + name.str()); }
+
 ObjectKey keyOf(const ConfigObject &object) { return std::visit(KeyVisitor{}, object); }
 
 std::uint64_t hashOf(const ConfigObject &object) {
@@ -213,9 +270,10 @@
 absl::Status validateSnapshot(const Snapshot &snapshot) {
   std::set<std::string> prefixes;
   std::set<ServiceName> servicesInRollout;
+  std::set<KeyDigest> keys;
   for (const auto &[key, entry] : snapshot.Objects) {
     absl::Status status =
-        std::visit(ObjectValidator{snapshot, prefixes, servicesInRollout}, *entry.Object);
+        std::visit(ObjectValidator{snapshot, prefixes, servicesInRollout, keys}, *entry.Object);
     if (!status.ok())
       return status;
   }
@@ -302,6 +360,9 @@
 std::vector<const RolloutSpec *> rolloutsOf(const Snapshot &snapshot) {
   return objectsOfKind<RolloutSpec>(snapshot);
 }
+std::vector<const WorkspaceSpec *> workspacesOf(const Snapshot &snapshot) {
+  return objectsOfKind<WorkspaceSpec>(snapshot);
+}
 
 const RolloutSpec *rolloutOfService(const Snapshot &snapshot, const ServiceName &name) {
   for (const RolloutSpec *spec : rolloutsOf(snapshot)) {
@@ -343,6 +404,8 @@
     return readRoute(from.getRoute());
   case wire::ConfigObject::ROLLOUT:
     return readRollout(from.getRollout());
+  case wire::ConfigObject::WORKSPACE:
+    return readWorkspace(from.getWorkspace());
   }
   return ServiceSpec{};
 }
@@ -379,6 +442,8 @@
     objects.emplace_back(readService(service));
   for (auto route : limitedList(from.getRoutes(), MaxListedObjects))
     objects.emplace_back(readRoute(route));
+  for (auto workspace : limitedList(from.getWorkspaces(), MaxListedObjects))
+    objects.emplace_back(readWorkspace(workspace));
   return objects;
 }
 
@@ -393,6 +458,11 @@
   n = 0;
   for (const RouteSpec *spec : routes)
     writeRoute(routeList[n++], *spec);
+  const auto workspaces = workspacesOf(snapshot);
+  auto workspaceList = to.initWorkspaces(static_cast<unsigned>(workspaces.size()));
+  n = 0;
+  for (const WorkspaceSpec *spec : workspaces)
+    writeWorkspace(workspaceList[n++], *spec);
 }
 
 } // namespace jasmineloom
--- a/src/config/config_func.h
+++ b/src/config/config_func.h
@@ -13,6 +13,7 @@
 ObjectKey serviceKey(const ServiceName &name);
 ObjectKey routeKey(const RouteName &name);
 ObjectKey rolloutKey(const RolloutID &id);
+ObjectKey workspaceKey(const WorkspaceName &name);
 
 /// @returns a 64-bit hash of the object's content, the same on every node.
 std::uint64_t hashOf(const ConfigObject &object);
@@ -41,6 +42,7 @@
 std::vector<const ServiceSpec *> servicesOf(const Snapshot &snapshot);
 std::vector<const RouteSpec *> routesOf(const Snapshot &snapshot);
 std::vector<const RolloutSpec *> rolloutsOf(const Snapshot &snapshot);
+std::vector<const WorkspaceSpec *> workspacesOf(const Snapshot &snapshot);
 /// @returns the service's rollout, or null if it has none.
 const RolloutSpec *rolloutOfService(const Snapshot &snapshot, const ServiceName &name);
 
@@ -51,7 +53,7 @@
 void writeDelta(wire::ConfigUpdate::Builder to, const ConfigDelta &delta);
 ConfigDelta readDelta(wire::ConfigUpdate::Reader from);
 std::vector<ConfigObject> readDeclarations(wire::Declarations::Reader from);
-/// Writes the services and routes of a snapshot as declarations.
+/// Writes the services, routes and workspaces of a snapshot as declarations.
 void writeDeclarations(wire::Declarations::Builder to, const Snapshot &snapshot);
 
 } // namespace jasmineloom
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -3,6 +3,7 @@
 
 #include "ids_type.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,6 +16,10 @@
 struct ServiceSpec {
   ServiceName Name;
   VersionLabel Version; ///< Empty: the version that most of its upstreams run.
+  /// Time after its start in which an upstream warms up; 0: not stated.
+  DurationMs WarmUpTime = 0;
+  /// Requests per second that an upstream takes from all nodes while it warms up; 0: no limit.
+  double WarmUpPerSecond = 0;
   auto operator<=>(const ServiceSpec &) const = default;
 };
 
@@ -37,6 +42,8 @@
   bool Idempotent = false;      ///< False: a request is executed at most once.
   DurationMs Deadline = 2000;   ///< Measured from arrival at the first node.
   std::uint32_t Worth = 1;      ///< Priority in load shedding; lower values are shed first.
+  bool NeedsKey = false;        ///< Callers must present the key of a workspace.
+  bool LargeBody = false;       ///< A request is sent only where it is expected to run at once.
   auto operator<=>(const RouteSpec &) const = default;
 };
 
@@ -51,7 +58,22 @@
   auto operator<=>(const RolloutSpec &) const = default;
 };
 
-using ConfigObject = std::variant<ServiceSpec, RouteSpec, RolloutSpec>;
+/// Bytes of a digest of an API key.
+constexpr std::size_t KeyDigestBytes = 32;
+/// Digest of an API key. The keys themselves are neither kept nor sent between nodes.
+using KeyDigest = std::array<std::uint8_t, KeyDigestBytes>;
+
+/// A customer's part of the mesh: the keys by which its callers are known, and its quota.
+struct WorkspaceSpec {
+  WorkspaceName Name;
+  std::vector<KeyDigest> Keys;
+  std::uint32_t Worth = 0;  ///< Priority of its requests, before the route's; 0: the route's.
+  double RatePerSecond = 0; ///< Quota over all nodes, requests per second; 0: none.
+  double Burst = 0;         ///< Requests that may come beyond the rate.
+  auto operator<=>(const WorkspaceSpec &) const = default;
+};
+
+using ConfigObject = std::variant<ServiceSpec, RouteSpec, RolloutSpec, WorkspaceSpec>;
 using ConfigObjectPtr = std::shared_ptr<const ConfigObject>;
 
 /// Kind and name of an object, for instance "route/orders"; snapshots are sorted by it.
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -136,7 +136,8 @@
     }
     std::visit(Overloaded{[](const std::monostate &) {},
                           [this](const ConfigDocument &document) { applyDocument(document); },
-                          [this](const RolloutOrder &order) { receiveOrder(order); }},
+                          [this](const RolloutOrder &order) { receiveOrder(order); },
+                          [](const EvacuationEntry &) {}},
                *decoded);
   }
 }
--- a/src/environment.cpp
+++ b/src/environment.cpp
@@ -3,7 +3,7 @@
 #include "environment.h"
 
 #include "event_util.h"
-#include "traffic/traffic_type.h"
+#include "routing/outcome_type.h"
 
 #include <absl/strings/numbers.h>
 #include <event2/http.h>
@@ -75,7 +75,12 @@
                       "",
                       "",
                       "x-upstream-leaving",
-                      "x-upstream-limit"};
+                      "x-upstream-limit",
+                      "authorization",
+                      "Bearer",
+                      "x-workspace",
+                      "x-upstream-load",
+                      "x-upstream-warm-up-ms"};
   environment.ReadManagement = readNativeManagement;
   environment.HeartbeatResponse = announceResponse;
   environment.Store = etcdGatewayProtocol();
--- a/src/environment.h
+++ b/src/environment.h
@@ -27,6 +27,13 @@
   std::string Signature;          ///< Only in complete responses of the upstream itself.
   std::string Leaving{};          ///< In responses: "1" if the upstream leaves.
   std::string Limit{};            ///< In responses: requests per second that the upstream takes.
+  std::string ApiKey{};           ///< From callers: ApiKeyScheme, a space and the key.
+  std::string ApiKeyScheme{};     ///< Compared case-insensitively.
+  std::string Workspace{};        ///< In requests: workspace of the caller's key.
+  /// In responses: requests running, waiting and slots, and the time that work takes at present in
+  /// percent of the usual; comma-separated. The last may be missing.
+  std::string Load{};
+  std::string WarmUpLeft{}; ///< In health responses: remaining time of warming up, ms.
 };
 
 // --- Management calls ---
@@ -72,8 +79,16 @@
   auto operator<=>(const RolloutOrder &) const = default;
 };
 
+/// Orders that nothing more be sent to the upstreams of a data centre, or takes that back.
+struct EvacuationEntry {
+  DataCentreName DataCentre;
+  std::uint64_t Revision = 0; ///< Store revision of the change.
+  bool Active = false;        ///< False: the order was removed.
+  auto operator<=>(const EvacuationEntry &) const = default;
+};
+
 /// Decoded entry below DocumentFormat::Prefix.
-using DocumentEntry = std::variant<std::monostate, ConfigDocument, RolloutOrder>;
+using DocumentEntry = std::variant<std::monostate, ConfigDocument, RolloutOrder, EvacuationEntry>;
 
 /// Store keys and formats of the operators' configuration, and of the rollout states that they
 /// read.
--- a/src/ids_type.h
+++ b/src/ids_type.h
@@ -38,6 +38,7 @@
 using VersionLabel = StrongName<struct VersionTag>;
 using DataCentreName = StrongName<struct DataCentreTag>;
 using OperationID = StrongName<struct OperationTag>;
+using WorkspaceName = StrongName<struct WorkspaceTag>;
 
 /// Version of the accepted configuration; increases by one with each accepted change. 0: none.
 using ConfigVersion = std::uint64_t;
--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -53,6 +53,12 @@
      "Maximum time from a stop or drain request until the process exits"},
     {"retry-slack", SettingType::Number, 0, 100000, "60", "requests",
      "Retries per service that all nodes together may make beyond their retry budgets"},
+    {"capacity", SettingType::Text, 0, 16, "", "cores",
+     "CPU of this host, as a decimal; empty: not known. Hosts with more take on more duties"},
+    {"revocation-time", SettingType::Number, 0, 600000, "0", "ms",
+     "Time after which a key that a configuration took away is refused everywhere, whether a node "
+     "is "
+     "in touch or not; 0: as soon as a node holds the configuration"},
     {"roots", SettingType::Number, 1, 64, "3", "hosts",
      "Number of hosts per data centre that watch the store"},
     {"seeds", SettingType::Address, 0, 0, "", "", "RPC addresses of some hosts, comma-separated"},
--- a/src/mesh/host_type.h
+++ b/src/mesh/host_type.h
@@ -39,9 +39,20 @@
   /// Last process of the upstream that has left or drains, see encodeDeparture(); empty: none
   /// known. Outlives the node's process: a later incarnation without one takes it over.
   std::string Departed{};
+  std::uint32_t Capacity = 0; ///< CPU of the host, thousandths of a core; 0: not known.
   auto operator<=>(const HostRecord &) const = default;
 };
 
+/// Order that nothing more be sent to the upstreams of a data centre, or its withdrawal. The one
+/// that was read last from the store holds; a later era of the store goes before a higher revision.
+struct Evacuation {
+  DataCentreName DataCentre;
+  std::uint64_t Era = 0;      ///< Of the store.
+  std::uint64_t Revision = 0; ///< Store revision at which the state was read.
+  bool Active = false;        ///< False: taken back.
+  auto operator<=>(const Evacuation &) const = default;
+};
+
 /// @returns whether \p left is newer than \p right, a record of the same host.
 inline bool replaces(const HostRecord &left, const HostRecord &right) {
   if (left.Incarnation != right.Incarnation)
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -22,6 +22,9 @@
   auto operator<=>(const SubtreeSummary &) const = default;
 };
 
+/// ExchangeMessage::ProofAge of a message without a proof.
+constexpr std::uint32_t NoProofAge = ~std::uint32_t{0};
+
 /// Message between two nodes; requests and responses have the same form.
 struct ExchangeMessage {
   HostID Host;
@@ -37,6 +40,13 @@
   std::vector<RolloutProgress> Progress;
   SubtreeSummary Summary;
   bool Joining = false; ///< The sender reports to the receiver as its child.
+  std::vector<Evacuation> Evacuations;
+  std::uint64_t Clock = 0; ///< The sender's clock, for the receiver to echo.
+  std::uint64_t Echo = 0;  ///< Latest clock of the receiver that the sender has seen; 0: none.
+  /// Proof that ProofVersion was the newest configuration; NoProofAge: none.
+  std::uint32_t ProofAge = NoProofAge;
+  ConfigVersion ProofVersion = 0;
+  std::uint64_t ProofEra = 0; ///< Era of the store that proved it.
 };
 
 /// The configuration that a node holds, stated when it fetches a newer one.
--- a/src/rollout/rollout_type.h
+++ b/src/rollout/rollout_type.h
@@ -30,6 +30,7 @@
   TimeMs SuspectUntil = 0; ///< End of the cap on a suspect version's share.
   std::uint64_t Order = 0; ///< Number of the operator's order; 0: a declared rollout.
   DurationMs Duration = 0; ///< Time that the order allows for the rollout.
+  std::uint64_t Era = 0;   ///< Era of the store in which the order was read; 0: not stated.
   auto operator<=>(const RolloutProgress &) const = default;
 };
 
--- a/src/traffic/traffic_type.cpp
+++ b/src/routing/outcome_type.cpp
@@ -1,5 +1,5 @@
-/// @file traffic_type.cpp Names of outcomes and refusals.
-#include "traffic/traffic_type.h"
+/// @file outcome_type.cpp Names of outcomes and refusals.
+#include "routing/outcome_type.h"
 
 namespace jasmineloom {
 
@@ -51,6 +51,20 @@
     return "bad-answer";
   case Refusal::UpstreamCut:
     return "upstream-cut";
+  case Refusal::Evacuated:
+    return "evacuated";
+  case Refusal::WarmingUp:
+    return "warming-up";
+  case Refusal::NoKey:
+    return "no-key";
+  case Refusal::UnknownKey:
+    return "unknown-key";
+  case Refusal::ConfigUnproved:
+    return "config-unproved";
+  case Refusal::OverQuota:
+    return "over-quota";
+  case Refusal::QuotaUnknown:
+    return "quota-unknown";
   case Refusal::Transport:
     return "transport";
   }
--- a/src/traffic/traffic_type.h
+++ b/src/routing/outcome_type.h
@@ -1,4 +1,4 @@
-/// @file traffic_type.h Outcomes and refusals of requests, and the headers that carry them.
+/// @file outcome_type.h Outcomes and refusals of requests, and the headers that carry them.
 #pragma once
 
 #include "ids_type.h"
@@ -30,11 +30,18 @@
   KeyUnproved,   ///< Too many hosts were lost to prove that the key is new.
   KeyTableFull,
   Deadline,
-  Busy,        ///< No slot is free and the request may not queue here.
-  NotTaken,    ///< The upstream reported that it has not run the request.
-  BadAnswer,   ///< The response belongs to another request or fails verification.
-  UpstreamCut, ///< The upstream closed the connection during the request; it may have crashed.
-  Transport,   ///< No connection to the gate or the upstream.
+  Busy,           ///< No slot is free and the request may not queue here.
+  NotTaken,       ///< The upstream reported that it has not run the request.
+  BadAnswer,      ///< The response belongs to another request or fails verification.
+  UpstreamCut,    ///< The upstream closed the connection during the request; it may have crashed.
+  Evacuated,      ///< Nothing may be sent to the host's data centre.
+  WarmingUp,      ///< The upstream takes no more requests while it warms up.
+  NoKey,          ///< The route needs a key, and the request has none.
+  UnknownKey,     ///< No workspace of the current configuration has the key.
+  ConfigUnproved, ///< The node can't prove that its configuration is the newest.
+  OverQuota,      ///< The request is beyond its workspace's quota.
+  QuotaUnknown,   ///< The node could not get a share of its workspace's quota.
+  Transport,      ///< No connection to the gate or the upstream. Keep last.
 };
 
 /// @returns the name used in logs, metrics and response headers.
--- a/src/traffic/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -1,5 +1,5 @@
 /// @file routing_view.cpp Builds the routing data of a node and finds routes in it.
-#include "traffic/routing_view.h"
+#include "routing/routing_view.h"
 
 #include "config/config_func.h"
 #include "rollout/rollout_order.h"
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -24,6 +24,7 @@
     response = Protocol.Decode(pending.Request, reply.Status, reply.Body);
   else
     response.Result = reply.Sent ? StoreResult::Unknown : StoreResult::Unavailable;
+  response.Era = reply.Era;
   Reachable =
       response.Result != StoreResult::Unknown && response.Result != StoreResult::Unavailable;
   pending.Fulfiller->fulfill(kj::mv(response));
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -77,6 +77,8 @@
   std::int64_t Lease = 0;            ///< Granted or renewed lease; 0 if it had expired.
   std::int64_t Revision = 0;         ///< Revision of the whole store, if the protocol reports it.
   bool HasMore = false;              ///< The list continues after its last entry.
+  /// Rises each time that the store comes back from an older copy; 0: not stated.
+  std::uint64_t Era = 0;
 };
 
 enum class StoreHttpMethod : std::uint8_t { Get, Post };
@@ -94,7 +96,8 @@
   /// @returns the response decoded from a complete HTTP response.
   StoreResponse (*Decode)(const StoreRequest &request, int status,
                           const std::string &body) = nullptr;
-  bool LongPoll = false; ///< The store delays the response to StoreWatch until a key changes.
+  bool LongPoll = false;   ///< The store delays the response to StoreWatch until a key changes.
+  std::string EraHeader{}; ///< Names the era of the store in all its responses; empty: none.
 };
 
 /// Protocol of the etcd v3 JSON gateway.
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -1,12 +1,12 @@
 /// @file task_messages.h Messages between the traffic task and the control task.
 #pragma once
 
+#include "admission/gate_base.h"
 #include "mailbox.h"
 #include "rollout/rollout_type.h"
+#include "routing/routing_view.h"
 #include "store/store_type.h"
 #include "traffic/announcement.h"
-#include "traffic/gate_base.h"
-#include "traffic/routing_view.h"
 
 #include <string>
 #include <variant>
@@ -111,6 +111,7 @@
   bool Sent = false;     ///< Part of the request may have reached the store.
   int Status = 0;
   std::string Body;
+  std::uint64_t Era = 0; ///< See StoreResponse::Era.
 };
 /// The watched head has changed, or the watch has ended.
 struct StoreWatchEvent {
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -1,14 +1,15 @@
 /// @file gate_task.h Gate of the local upstream: admission, key claims, forwarding, evidence.
 #pragma once
 
+#include "admission/gate_base.h"
 #include "environment.h"
 #include "http/http_server.h"
 #include "task_messages.h"
-#include "traffic/gate_base.h"
 #include "traffic/key_table.h"
 #include "traffic/metrics.h"
 #include "traffic/peer_call.h"
 #include "traffic/request_log.h"
+#include "traffic/response_check.h"
 
 #include <map>
 #include <memory>
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -16,8 +16,10 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusBadGateway = 502;
 constexpr int StatusGatewayTimeout = 504;
+constexpr int StatusUnauthorized = 401;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
+constexpr int StatusTooManyRequests = 429;
 constexpr int FirstServerError = 500;
 
 /// Connect timeout for gates; a hundred times the round-trip time between data centres, which is
@@ -81,6 +83,10 @@
     return StatusNotFound;
   if (reason == Refusal::KeyInUse)
     return StatusConflict;
+  if (reason == Refusal::NoKey || reason == Refusal::UnknownKey)
+    return StatusUnauthorized;
+  if (reason == Refusal::OverQuota)
+    return StatusTooManyRequests;
   if (outcome == Outcome::NotRun)
     return StatusUnavailable;
   return reason == Refusal::Deadline ? StatusGatewayTimeout : StatusBadGateway;
@@ -472,7 +478,7 @@
   RequestLine line = makeLogLine(context, decisionOf(outcome), now);
   line.Reason = reasonName;
   line.Status = response.Status;
-  if (response.Status == StatusUnavailable) {
+  if (response.Status == StatusUnavailable || response.Status == StatusTooManyRequests) {
     line.RetryAfter = chooseRetryAfter(context);
     response.Headers.push_back(
         {header::RetryAfter,
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -1,11 +1,11 @@
 /// @file ingress_task.h Routes the requests of local callers to gates and reports each outcome.
 #pragma once
 
+#include "balance/placement.h"
 #include "http/http_server.h"
 #include "traffic/caller_service.h"
 #include "traffic/gate_task.h"
 #include "traffic/metrics.h"
-#include "traffic/placement.h"
 #include "traffic/request_log.h"
 #include "traffic/retry_rule.h"
 
--- a/src/traffic/key_table.h
+++ b/src/traffic/key_table.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "mesh/host_table.h"
-#include "traffic/traffic_type.h"
+#include "routing/outcome_type.h"
 
 #include <deque>
 #include <unordered_map>
--- a/src/traffic/request_log.h
+++ b/src/traffic/request_log.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "ids_type.h"
-#include "traffic/traffic_type.h"
+#include "routing/outcome_type.h"
 
 #include <string>
 #include <string_view>
--- a/src/traffic/response_check.h
+++ b/src/traffic/response_check.h
@@ -1,11 +1,10 @@
 /// @file response_check.h Checks that a response belongs to its request and that the request ran.
 #pragma once
 
+#include "admission/request_limit.h"
 #include "environment.h"
 #include "http/http_pool.h"
 
-#include <variant>
-
 namespace jasmineloom {
 
 /// Classification of a response from an upstream.
@@ -20,21 +19,6 @@
 ResponseKind classifyResponse(const HttpHeaderNames &headerNames, const HttpResult &result,
                               const std::string &identity);
 
-/// The response does not tell whether the upstream has a limit.
-struct NoLimitStatement {
-  bool operator==(const NoLimitStatement &) const = default;
-};
-/// The upstream has no limit, or no longer has one.
-struct LimitLifted {
-  bool operator==(const LimitLifted &) const = default;
-};
-/// The upstream takes this many requests per second from all nodes together.
-struct LimitNamed {
-  double PerSecond = 0;
-  bool operator==(const LimitNamed &) const = default;
-};
-using LimitStatement = std::variant<NoLimitStatement, LimitLifted, LimitNamed>;
-
 /// Reads what a response states of its upstream's limit. A malformed or repeated field states
 /// nothing. A missing one lifts the limit only in a response that is certainly the upstream's own.
 /// @param kind result of classifyResponse().
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -147,20 +147,23 @@
   call.Timeout = message.Timeout;
   call.TimeoutOnSilence = true;
   call.TotalTimeout = message.Timeout + MaxStoreTransferTime;
-  StorePool.call(Settings.StoreAddress, std::move(call),
-                 [this, number = message.Number](const HttpResult &result) {
-                   // The other connections may have gone silent with this one.
-                   if (result.TimedOut)
-                     StorePool.retireConnections(Settings.StoreAddress);
-                   StoreReply reply;
-                   reply.Number = number;
-                   reply.Complete = result.Complete;
-                   reply.Sent = result.BytesSent;
-                   reply.Status = result.Status;
-                   if (result.Complete)
-                     reply.Body = textOf(result.Body.get());
-                   Control.put(std::move(reply));
-                 });
+  StorePool.call(
+      Settings.StoreAddress, std::move(call),
+      [this, number = message.Number](const HttpResult &result) {
+        // The other connections may have gone silent with this one.
+        if (result.TimedOut)
+          StorePool.retireConnections(Settings.StoreAddress);
+        StoreReply reply;
+        reply.Number = number;
+        reply.Complete = result.Complete;
+        reply.Sent = result.BytesSent;
+        reply.Status = result.Status;
+        if (!absl::SimpleAtoi(headerValue(result.Headers, Env.Store.EraHeader), &reply.Era))
+          reply.Era = 0;
+        if (result.Complete)
+          reply.Body = textOf(result.Body.get());
+        Control.put(std::move(reply));
+      });
 }
 
 void TrafficTask::handle(StoreWatchStart &message) {
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -8,6 +8,18 @@
 
 namespace {
 unsigned sizeOf(std::size_t n) { return static_cast<unsigned>(n); }
+
+void writeEvacuation(wire::Evacuation::Builder to, const Evacuation &evacuation) {
+  to.setDataCentre(evacuation.DataCentre.str());
+  to.setEra(evacuation.Era);
+  to.setRevision(evacuation.Revision);
+  to.setActive(evacuation.Active);
+}
+
+Evacuation readEvacuation(wire::Evacuation::Reader from) {
+  return {DataCentreName(wireText(from.getDataCentre())), from.getEra(), from.getRevision(),
+          from.getActive()};
+}
 } // namespace
 
 void writeRecord(wire::HostRecord::Builder to, const HostRecord &record) {
@@ -25,6 +37,7 @@
   to.setHandedOver(record.KeysHandedOver);
   to.setUpstream(record.Upstream);
   to.setDeparted(record.Departed);
+  to.setCapacity(record.Capacity);
 }
 
 HostRecord readRecord(wire::HostRecord::Reader from) {
@@ -44,6 +57,7 @@
   record.KeysHandedOver = from.getHandedOver();
   record.Upstream = wireText(from.getUpstream());
   record.Departed = wireText(from.getDeparted());
+  record.Capacity = from.getCapacity();
   return record;
 }
 
@@ -58,6 +72,7 @@
   to.setSuspectUntilMs(progress.SuspectUntil);
   to.setOrder(progress.Order);
   to.setDurationMs(progress.Duration);
+  to.setEra(progress.Era);
 }
 
 RolloutProgress readProgress(wire::RolloutProgress::Reader from) {
@@ -70,7 +85,8 @@
           VersionLabel(wireText(from.getToVersion())),
           from.getSuspectUntilMs(),
           from.getOrder(),
-          from.getDurationMs()};
+          from.getDurationMs(),
+          from.getEra()};
 }
 
 void writeEvidence(wire::EvidenceReport::Builder to, const EvidenceReport &report) {
@@ -174,6 +190,17 @@
     for (const RolloutProgress &it : message.Progress)
       writeProgress(progress[n++], it);
   }
+  if (!message.Evacuations.empty()) {
+    n = 0;
+    auto evacuations = to.initEvacuations(sizeOf(message.Evacuations.size()));
+    for (const Evacuation &it : message.Evacuations)
+      writeEvacuation(evacuations[n++], it);
+  }
+  to.setClockMs(message.Clock);
+  to.setEchoMs(message.Echo);
+  to.setProofAgeMs(message.ProofAge);
+  to.setProofVersion(message.ProofVersion);
+  to.setProofEra(message.ProofEra);
   writeSummary(to.initSummary(), message.Summary);
 }
 
@@ -193,6 +220,13 @@
     message.Records.push_back(readRecord(record));
   for (auto progress : limitedList(from.getProgress(), MaxListedObjects))
     message.Progress.push_back(readProgress(progress));
+  for (auto evacuation : limitedList(from.getEvacuations(), MaxListedObjects))
+    message.Evacuations.push_back(readEvacuation(evacuation));
+  message.Clock = from.getClockMs();
+  message.Echo = from.getEchoMs();
+  message.ProofAge = from.getProofAgeMs();
+  message.ProofVersion = from.getProofVersion();
+  message.ProofEra = from.getProofEra();
   message.Summary = readSummary(from.getSummary());
   return message;
 }
--- a/tests/limit_test.cpp
+++ b/tests/limit_test.cpp
@@ -2,9 +2,10 @@
 #define BOOST_TEST_MODULE limit
 #include <boost/test/unit_test.hpp>
 
+#include "admission/gate_base.h"
+#include "balance/placement.h"
 #include "platform_environment.h"
-#include "traffic/gate_base.h"
-#include "traffic/placement.h"
+#include "traffic/response_check.h"
 
 #include <cmath>
 #include <deque>
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -3,7 +3,7 @@
 #define BOOST_TEST_MODULE placement
 #include <boost/test/unit_test.hpp>
 
-#include "traffic/placement.h"
+#include "balance/placement.h"
 #include "traffic/response_check.h"
 #include "traffic/retry_rule.h"
 
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -3,11 +3,11 @@
 #define BOOST_TEST_MODULE traffic
 #include <boost/test/unit_test.hpp>
 
+#include "admission/gate_base.h"
+#include "balance/placement.h"
 #include "traffic/drain_rule.h"
-#include "traffic/gate_base.h"
 #include "traffic/key_table.h"
 #include "traffic/peer_call.h"
-#include "traffic/placement.h"
 #include "traffic/request_log.h"
 #include "traffic/retry_rule.h"
 
--- a/tools/jasmine_load.cpp
+++ b/tools/jasmine_load.cpp
@@ -3,8 +3,8 @@
 /// reported outcomes with the runs that the simulated upstreams counted.
 #include "event_util.h"
 #include "http/http_pool.h"
+#include "routing/outcome_type.h"
 #include "settings.h"
-#include "traffic/traffic_type.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
--- a/tools/load_model.cpp
+++ b/tools/load_model.cpp
@@ -1,8 +1,8 @@
 /// @file load_model.cpp Discrete-event simulation of a mesh under load.
 #include "load_model.h"
 
-#include "traffic/gate_base.h"
-#include "traffic/placement.h"
+#include "admission/gate_base.h"
+#include "balance/placement.h"
 #include "traffic/retry_rule.h"
 
 #include <algorithm>
