Evacuate data centres, and keep the warm-up limits of upstreams

Cause: op/evacuate/ZONE was decoded and dropped, and the remaining warm-up time of an upstream was used for evidence only, so requests reached the upstreams of an evacuated data centre and cold upstreams at full rate.

Change: the evacuated data centres come from the store with era and revision, pass over the links with the progress of rollouts, and take part in the routing view; gates there refuse what has not been sent. The gate keeps the warm-up limit of its upstream, which it takes for unproved after a start, an unreachable port, a silence or an evacuation, and then asks its health path.

Ruled out: counting only the upstreams that are left when the versions of a service are weighed, as an evacuation would move the stable version and the share of a new one; asking the health path at fixed intervals.

--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -66,7 +66,7 @@
   return it->second.Crashes >= CrashesToQuarantine && now < it->second.Last + QuarantineTime;
 }
 
-void Gate::setUpstream(const LocalUpstream &upstream) {
+void Gate::setUpstream(const LocalUpstream &upstream, TimeMs now) {
   if (upstream == Upstream)
     return;
   const bool replaced = processOf(upstream) != processOf(Upstream) ||
@@ -81,11 +81,22 @@
     MeanServiceMs = 0;
     RouteServiceMs.clear();
     FailureShare = 0;
+    Warming.suspect(now);
   }
   Upstream = upstream;
   TakenBack = false;
 }
 
+bool Gate::setEvacuated(bool evacuated, TimeMs now) {
+  if (evacuated == Evacuated)
+    return false;
+  Evacuated = evacuated;
+  // Upstreams that nothing was sent to may be cold afterwards.
+  if (!Evacuated)
+    Warming.suspect(now);
+  return true;
+}
+
 bool Gate::applyLimit(const LimitStatement &statement, TimeMs now) {
   if (std::holds_alternative<NoLimitStatement>(statement))
     return false;
@@ -110,6 +121,8 @@
     return Refusal::NoUpstream;
   if (request.Service != Upstream.Service || request.Version != Upstream.Version)
     return Refusal::WrongUpstream;
+  if (Evacuated)
+    return Refusal::Evacuated;
   if (TakenBack)
     return Refusal::TakenBack;
   if (Crashes.quarantined(request.Fingerprint, now))
@@ -126,8 +139,31 @@
   return now >= request.Deadline ? Refusal::Deadline : Refusal::None;
 }
 
+bool Gate::keepsLimits(TimeMs now) const { return Limit.mayStart(now) && Warming.mayStart(now); }
+
+double Gate::limitWait(double requests, TimeMs now) const {
+  return std::max(Limit.waitFor(requests, now), Warming.waitFor(requests, now));
+}
+
+double Gate::limitPerSecond(TimeMs now) const {
+  const double warming = Warming.perSecond(now);
+  const double named = Limit.perSecond();
+  return warming == 0 || named == 0 ? std::max(warming, named) : std::min(warming, named);
+}
+
+double Gate::limitAvailable(TimeMs now) const {
+  if (!Warming.active(now))
+    return Limit.available(now);
+  return Limit.active() ? std::min(Limit.available(now), Warming.available(now))
+                        : Warming.available(now);
+}
+
+Refusal Gate::overloadReason(TimeMs now) const {
+  return Warming.mayStart(now) ? Refusal::Overloaded : Refusal::WarmingUp;
+}
+
 bool Gate::mayRun(const GateRequest &request, TimeMs now) const {
-  if (InFlight >= Upstream.Slots || !Limit.mayStart(now))
+  if (InFlight >= Upstream.Slots || !keepsLimits(now))
     return false;
   return SuspectRunning == 0 || !Crashes.suspect(request.Fingerprint, now);
 }
@@ -135,6 +171,7 @@
 void Gate::start(const GateRequest &request, TimeMs now) {
   ++InFlight;
   Limit.recordStart(now);
+  Warming.recordStart(now);
   if (Crashes.suspect(request.Fingerprint, now))
     SuspectRunning = request.Fingerprint;
 }
@@ -171,12 +208,12 @@
 
 double Gate::expectedWait(const GateRequest &request, TimeMs now) const {
   const QueueRank rank = rankOf(request, now);
-  if (!Limit.active())
+  if (limitPerSecond(now) == 0)
     return slotWait(rank, now);
   const auto ahead = std::count_if(Queue.begin(), Queue.end(), [&](const GateRequest &it) {
     return !ranksBefore(rank, rankOf(it, now));
   });
-  return std::max(slotWait(rank, now), Limit.waitFor(static_cast<double>(ahead + 1), now));
+  return std::max(slotWait(rank, now), limitWait(static_cast<double>(ahead + 1), now));
 }
 
 bool Gate::acceptsLate(const GateRequest &request, double wait, TimeMs now) const {
@@ -239,6 +276,7 @@
   const Refusal refusal = refusalFor(request, now);
   if (refusal != Refusal::None)
     return {Admission::Refused, refusal, std::nullopt};
+  Warming.recordArrival(now);
   if (Queue.empty() && mayRun(request, now)) {
     start(request, now);
     return {Admission::Run, Refusal::None, std::nullopt};
@@ -248,7 +286,7 @@
   if (!request.MayQueue)
     return {Admission::Refused, Refusal::Busy, std::nullopt, retryAfter};
   if (missesDeadline(request, wait, now) || !acceptsLate(request, wait, now))
-    return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
+    return {Admission::Refused, overloadReason(now), std::nullopt, retryAfter};
   AdmissionResult result{Admission::Queued, Refusal::None, std::nullopt, retryAfter};
   if (Queue.size() >= std::size_t{Upstream.Slots} * QueuePerSlot) {
     // Evict the lowest rank; among equal ranks the latest arrival.
@@ -257,7 +295,7 @@
         waiting.rbegin(), waiting.rend(),
         [](const QueueRank &left, const QueueRank &right) { return ranksBefore(right, left); });
     if (!ranksBefore(rankOf(request, now), *least))
-      return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
+      return {Admission::Refused, overloadReason(now), std::nullopt, retryAfter};
     const auto evicted = Queue.begin() + (std::next(least).base() - waiting.begin());
     result.Evicted = evicted->Ticket;
     Queue.erase(evicted);
--- a/src/admission/gate_base.h
+++ b/src/admission/gate_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/request_limit.h"
+#include "admission/warm_up.h"
 #include "routing/outcome_type.h"
 
 #include <map>
@@ -131,7 +132,7 @@
   /// Applies the upstream's announcement. Another process starts with all slots free, whatever runs
   /// at the earlier one, and without its service times, failures and limit. Queued requests that it
   /// may not run leave the queue with the next tick().
-  void setUpstream(const LocalUpstream &upstream);
+  void setUpstream(const LocalUpstream &upstream, TimeMs now = 0);
   /// While draining, new requests are refused and queued ones still run.
   void setDraining(bool draining) { Draining = draining; }
   /// Refuses new requests while the upstream's version is rolled back.
@@ -147,6 +148,19 @@
   bool adoptLimit(double perSecond, const std::string &process, TimeMs now);
   const RequestLimit &limit() const { return Limit; }
 
+  /// Refuses new and queued requests while the data centre is evacuated.
+  /// @returns whether that changed.
+  bool setEvacuated(bool evacuated, TimeMs now);
+  bool evacuated() const { return Evacuated; }
+  /// Warm-up limit of the upstream.
+  WarmUp &warmUp() { return Warming; }
+  const WarmUp &warmUp() const { return Warming; }
+
+  /// @returns the lowest limit in force, requests per second; 0: none.
+  double limitPerSecond(TimeMs now) const;
+  /// @returns the number of requests that may start within the limits in force.
+  double limitAvailable(TimeMs now) const;
+
   /// Decides whether a request runs now, waits in the queue or is refused.
   AdmissionResult admit(const GateRequest &request, TimeMs now);
 
@@ -199,6 +213,10 @@
   Refusal exclusionOf(const GateRequest &request, TimeMs now) const;
   Refusal refusalFor(const GateRequest &request, TimeMs now) const;
   bool mayRun(const GateRequest &request, TimeMs now) const;
+  bool keepsLimits(TimeMs now) const;
+  /// @returns the time until the limits in force let \p requests more start, ms.
+  double limitWait(double requests, TimeMs now) const;
+  Refusal overloadReason(TimeMs now) const;
   void start(const GateRequest &request, TimeMs now);
   bool missesDeadline(const GateRequest &request, double wait, TimeMs now) const;
   bool meetsObjective(const GateRequest &request, double wait, TimeMs now) const;
@@ -213,9 +231,11 @@
   UpstreamGeneration Generation = 0;
   bool Draining = false;
   bool TakenBack = false;
+  bool Evacuated = false;
   std::uint32_t InFlight = 0;
   RequestLimit Limit;
   bool LimitStated = false; ///< The upstream's process has stated its limit, or that it has none.
+  WarmUp Warming;
   double MeanServiceMs = 0;
   std::map<RouteName, double> RouteServiceMs;
   double FailureShare = 0;
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -211,7 +211,7 @@
 std::vector<const Endpoint *> withFallback(const ServiceView &service, const VersionLabel &version,
                                            ChooseT choose) {
   std::vector<const Endpoint *> choices = choose(version);
-  const bool none = service.poolOf(version) == nullptr;
+  const bool none = !service.hasUpstreamsOf(version);
   const bool takenBack = service.Progress.Phase == RolloutPhase::TakenBack;
   const VersionLabel other = otherVersion(service, version);
   const bool ordered = service.Rollout.has_value() && service.Rollout->Deadline == 0;
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -98,11 +98,18 @@
           return false;
         // The watch starts at the first page's revision, so it reports changes made while further
         // pages were read.
-        if (after.empty())
+        if (after.empty()) {
           DocumentRead.Revision = response.Revision;
-        applyEntries(response.Entries);
+          DocumentRead.Era = response.Era;
+          DocumentRead.ListedEvacuations.clear();
+        }
+        // The pages of two eras are no list of either.
+        if (response.Era != DocumentRead.Era)
+          return false;
+        applyEntries(response.Entries, response.Era);
         if (response.HasMore && !response.Entries.empty())
           return listDocument(response.Entries.back().Key);
+        endEvacuations(DocumentRead.Revision);
         DocumentRead.Listed = true;
         Watches.recordAnswer(true);
         return true;
@@ -122,12 +129,12 @@
       return false;
     DocumentRead.Revision = std::max(DocumentRead.Revision, response.Revision);
     Watches.recordAnswer(!response.Entries.empty());
-    applyEntries(response.Entries);
+    applyEntries(response.Entries, response.Era);
     return true;
   });
 }
 
-void ControlTask::applyEntries(const std::vector<StoreEntry> &entries) {
+void ControlTask::applyEntries(const std::vector<StoreEntry> &entries, std::uint64_t era) {
   for (const StoreEntry &entry : entries) {
     absl::StatusOr<DocumentEntry> decoded = Settings.Env.Document->Decode(entry);
     if (!decoded.ok()) {
@@ -137,7 +144,9 @@
     std::visit(Overloaded{[](const std::monostate &) {},
                           [this](const ConfigDocument &document) { applyDocument(document); },
                           [this](const RolloutOrder &order) { receiveOrder(order); },
-                          [](const EvacuationEntry &) {}},
+                          [this, era](const EvacuationEntry &evacuation) {
+                            receiveEvacuation(evacuation, era);
+                          }},
                *decoded);
   }
 }
@@ -168,6 +177,52 @@
   propagateChanges(changes);
 }
 
+void ControlTask::receiveEvacuation(const EvacuationEntry &entry, std::uint64_t era) {
+  if (entry.Active)
+    DocumentRead.ListedEvacuations.insert(entry.DataCentre);
+  else
+    DocumentRead.ListedEvacuations.erase(entry.DataCentre);
+  StateChanges changes;
+  changes.EvacuationsChanged =
+      Node.updateEvacuation({entry.DataCentre, era, entry.Revision, entry.Active});
+  propagateChanges(changes);
+}
+
+void ControlTask::endEvacuations(std::int64_t revision) {
+  const std::vector<DataCentreName> takenBack = Node.retainEvacuations(
+      DocumentRead.ListedEvacuations, DocumentRead.Era, static_cast<std::uint64_t>(revision));
+  StateChanges changes;
+  changes.EvacuationsChanged = !takenBack.empty();
+  propagateChanges(changes);
+}
+
+void ControlTask::recordEvacuations(const RoutingView &view) {
+  for (const DataCentreName &it : view.Evacuated) {
+    if (!ReportedEvacuated.contains(it))
+      recordEvent("evacuation", it.str(), "nothing more is sent to its upstreams");
+  }
+  for (const DataCentreName &it : ReportedEvacuated) {
+    if (!view.Evacuated.contains(it))
+      recordEvent("evacuation", it.str(), "taken back");
+  }
+  ReportedEvacuated = view.Evacuated;
+  std::set<std::string> unserved;
+  for (const auto &[name, service] : view.Services) {
+    if (service.evacuated())
+      unserved.insert(name);
+  }
+  for (const std::string &it : unserved) {
+    if (!ReportedUnserved.contains(it))
+      recordEvent("evacuation", it,
+                  "has upstreams only in evacuated data centres; its requests are refused");
+  }
+  for (const std::string &it : ReportedUnserved) {
+    if (!unserved.contains(it))
+      recordEvent("evacuation", it, "requests are no longer refused for an evacuation");
+  }
+  ReportedUnserved = std::move(unserved);
+}
+
 bool ControlTask::readsDocument(TimeMs now) const {
   return Settings.Env.Document.has_value() && (usesStore(now) || allLinksSilent(now));
 }
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -254,7 +254,7 @@
     recordEvent("config", "refused", Node.config().lastError());
   if (changes.ProgressChanged)
     recordOrderProgress(steadyClockMs());
-  if (changes.ConfigApplied || changes.ProgressChanged)
+  if (changes.ConfigApplied || changes.ProgressChanged || changes.EvacuationsChanged)
     schedulePublish(PublishDelay);
   else if (changes.TableChanged)
     schedulePublish(TablePublishDelay);
@@ -290,9 +290,12 @@
     return;
   std::vector<HostRecord> hosts;
   Node.hosts().forEach([&hosts](const HostRecord &record, TimeMs) { hosts.push_back(record); });
-  Traffic.put(PublishView{buildRoutingView(
+  const RoutingViewPtr view = buildRoutingView(
       *Node.config().held(), hosts, Node.progress(), Settings.Identity.DataCentre,
-      static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()))});
+      static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()),
+      Node.evacuated());
+  recordEvacuations(*view);
+  Traffic.put(PublishView{view});
 }
 
 kj::Promise<void> ControlTask::waitForUpdates(const HostID &peer, DurationMs hold) {
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -114,11 +114,13 @@
   };
   /// Progress in reading the operators' document.
   struct DocumentReadState {
-    bool Listed = false;       ///< All entries were listed; changes are watched.
-    std::int64_t Revision = 0; ///< Store revision after which the watch continues.
-    DurationMs RetryDelay = 0; ///< Backoff before the next call after a failure.
-    TimeMs AnsweredAt = 0;     ///< When the store last answered a read or a watch; 0: never.
-    bool Overdue = false;      ///< The store's answer was overdue at the last check.
+    bool Listed = false;                        ///< All entries were listed; changes are watched.
+    std::set<DataCentreName> ListedEvacuations; ///< By the list in progress.
+    std::uint64_t Era = 0;                      ///< Of the store, as of the list in progress.
+    std::int64_t Revision = 0;                  ///< Store revision after which the watch continues.
+    DurationMs RetryDelay = 0;                  ///< Backoff before the next call after a failure.
+    TimeMs AnsweredAt = 0; ///< When the store last answered a read or a watch; 0: never.
+    bool Overdue = false;  ///< The store's answer was overdue at the last check.
     /// Callers that wait for the read of the whole document in progress.
     std::vector<kj::Own<kj::PromiseFulfiller<bool>>> Waiters;
   };
@@ -207,7 +209,14 @@
   kj::Promise<bool> readDocument();
   kj::Promise<bool> listDocument(const std::string &after);
   kj::Promise<bool> watchDocument();
-  void applyEntries(const std::vector<StoreEntry> &entries);
+  /// @param era of the store that stated them.
+  void applyEntries(const std::vector<StoreEntry> &entries, std::uint64_t era);
+  void receiveEvacuation(const EvacuationEntry &entry, std::uint64_t era);
+  /// Takes back the evacuations that a list of the whole document lacks; a watch may miss that they
+  /// were removed.
+  void endEvacuations(std::int64_t revision);
+  /// Records which data centres are evacuated, and the services that have no upstream elsewhere.
+  void recordEvacuations(const RoutingView &view);
   void applyDocument(const ConfigDocument &document);
   void receiveOrder(const RolloutOrder &order);
   /// @returns whether a peer has been heard of, over a link that this node opened.
@@ -288,6 +297,8 @@
   /// Those in this data centre by the last list; empty before the first one.
   std::optional<std::size_t> RegisteredRoots;
   DocumentReadState DocumentRead;
+  std::set<DataCentreName> ReportedEvacuated; ///< In the last event of the time line.
+  std::set<std::string> ReportedUnserved;     ///< Services, in the last events of the time line.
   WatchSchedule Watches;
   std::map<RolloutID, OrderState> Orders;
   TimeMs SuspendedTotal = 0; ///< Boot clock minus steady clock at the last tick.
--- a/src/environment.h
+++ b/src/environment.h
@@ -34,6 +34,7 @@
   /// percent of the usual; comma-separated. The last may be missing.
   std::string Load{};
   std::string WarmUpLeft{}; ///< In health responses: remaining time of warming up, ms.
+  std::string HealthPath{}; ///< Path at which upstreams answer health questions.
 };
 
 // --- Management calls ---
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace jasmineloom {
 
@@ -84,6 +85,9 @@
       message.Progress.push_back(progress);
     link.SentProgressEpoch = ProgressEpoch;
   }
+  // They are few, and a message that is lost must not leave a node without them.
+  for (const auto &[dataCentre, evacuation] : Evacuations)
+    message.Evacuations.push_back(evacuation);
   message.Summary = summary();
   link.SentSummary = message.Summary;
   return message;
@@ -266,6 +270,8 @@
   compareDigests(message, link);
   for (const RolloutProgress &progress : message.Progress)
     changes.ProgressChanged |= updateProgress(progress);
+  for (const Evacuation &evacuation : message.Evacuations)
+    changes.EvacuationsChanged |= updateEvacuation(evacuation);
   const HostRecord *record = Hosts.find(message.Host);
   link.PeerSequence = record == nullptr ? 0 : record->Sequence;
   return changes;
@@ -279,6 +285,41 @@
   return changed;
 }
 
+bool MeshNode::updateEvacuation(const Evacuation &evacuation) {
+  if (evacuation.DataCentre.empty())
+    return false;
+  const auto [it, added] = Evacuations.try_emplace(evacuation.DataCentre, evacuation);
+  const bool newer =
+      std::tie(evacuation.Era, evacuation.Revision) > std::tie(it->second.Era, it->second.Revision);
+  if (!added && !newer)
+    return false;
+  it->second = evacuation;
+  ++ProgressEpoch;
+  return true;
+}
+
+std::vector<DataCentreName> MeshNode::retainEvacuations(const std::set<DataCentreName> &listed,
+                                                        std::uint64_t era, std::uint64_t revision) {
+  std::vector<DataCentreName> takenBack;
+  for (const auto &[dataCentre, evacuation] : Evacuations) {
+    if (evacuation.Active && !listed.contains(dataCentre))
+      takenBack.push_back(dataCentre);
+  }
+  std::erase_if(takenBack, [&](const DataCentreName &it) {
+    return !updateEvacuation({it, era, revision, false});
+  });
+  return takenBack;
+}
+
+std::set<DataCentreName> MeshNode::evacuated() const {
+  std::set<DataCentreName> active;
+  for (const auto &[dataCentre, evacuation] : Evacuations) {
+    if (evacuation.Active)
+      active.insert(dataCentre);
+  }
+  return active;
+}
+
 void MeshNode::announce(HostState state, const ServiceName &service, const VersionLabel &version,
                         std::uint32_t slots, const std::string &upstream, TimeMs now) {
   HostRecord next = Self;
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace jasmineloom {
@@ -62,6 +63,7 @@
   bool ConfigRejected = false;
   bool TableChanged = false;
   bool ProgressChanged = false;
+  bool EvacuationsChanged = false;
   bool operator==(const StateChanges &) const = default;
 };
 
@@ -160,6 +162,19 @@
   /// @returns whether the known progress changed.
   bool updateProgress(const RolloutProgress &progress);
 
+  /// Merges the state of a data centre's evacuation: a later era of the store goes before a higher
+  /// revision.
+  /// @returns whether the known state changed.
+  bool updateEvacuation(const Evacuation &evacuation);
+  /// Takes back the active evacuations that a full list of the operators' entries lacks.
+  /// @param listed data centres with an entry.
+  /// @param era, revision of the store, as of the list.
+  /// @returns the data centres whose evacuation was taken back.
+  std::vector<DataCentreName> retainEvacuations(const std::set<DataCentreName> &listed,
+                                                std::uint64_t era, std::uint64_t revision);
+  /// @returns the data centres that are evacuated.
+  std::set<DataCentreName> evacuated() const;
+
   /// Updates this host's own record.
   void announce(HostState state, const ServiceName &service, const VersionLabel &version,
                 std::uint32_t slots, const std::string &upstream, TimeMs now);
@@ -230,7 +245,9 @@
   ConfigFetch Fetch;
   HostTable Hosts;
   std::map<RolloutID, RolloutProgress> Progress;
-  std::uint64_t ProgressEpoch = 0;
+  /// By data centre; one that was taken back stays, or an older message would bring it back.
+  std::map<DataCentreName, Evacuation> Evacuations;
+  std::uint64_t ProgressEpoch = 0; ///< Rises with each change of Progress and Evacuations.
   std::map<HostID, Link> Links;
   std::map<HostID, ConfigVersion> AckedVersions; ///< Highest version acknowledged by each host.
   bool WantFull = false; ///< A delta did not apply; a full snapshot is requested.
--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -54,8 +54,12 @@
   }
 }
 
+using VersionCensus = std::map<std::string, std::map<VersionLabel, std::uint32_t>>;
+
 /// Applies the ordered rollouts to services whose version is not declared.
-void addOrders(RoutingView &view, const std::map<RolloutID, RolloutProgress> &progress) {
+/// @param ready number of ready upstreams by service and version.
+void addOrders(RoutingView &view, const std::map<RolloutID, RolloutProgress> &progress,
+               VersionCensus &ready) {
   std::map<ServiceName, std::vector<RolloutProgress>> orders;
   for (const auto &[id, it] : progress) {
     if (it.Order != 0)
@@ -64,10 +68,7 @@
   for (auto &[name, service] : view.Services) {
     if (!service.Version.empty() || service.Rollout.has_value())
       continue;
-    std::map<VersionLabel, std::uint32_t> upstreams;
-    for (const Endpoint &endpoint : service.Endpoints)
-      ++upstreams[endpoint.Version];
-    const VersionPolicy policy = policyOf(orders[service.Name], upstreams);
+    const VersionPolicy policy = policyOf(orders[service.Name], ready[name]);
     service.Version = policy.Stable;
     service.RolledBack = policy.RolledBack;
     if (!policy.Running.has_value())
@@ -112,19 +113,24 @@
 
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
-                                const DataCentreName &local, std::int64_t steadyOffset) {
+                                const DataCentreName &local, std::int64_t steadyOffset,
+                                const std::set<DataCentreName> &evacuated) {
   auto view = std::make_shared<RoutingView>();
   view->Version = snapshot.Version;
+  view->Evacuated = evacuated;
   for (const ServiceSpec *spec : servicesOf(snapshot)) {
     ServiceView &service = view->Services[spec->Name.str()];
     service.Name = spec->Name;
     service.Version = spec->Version;
+    service.WarmUpTime = spec->WarmUpTime;
+    service.WarmUpPerSecond = spec->WarmUpPerSecond;
   }
   addDeclaredRollouts(*view, snapshot, progress, steadyOffset);
   for (const RouteSpec *spec : routesOf(snapshot)) {
     if (servicesExist(*view, *spec))
       view->Routes.emplace(routeKeyOf(spec->Host, spec->Prefix), *spec);
   }
+  VersionCensus ready;
   for (const HostRecord &record : hosts) {
     if (record.Service.empty())
       continue;
@@ -132,11 +138,16 @@
     const auto it = view->Services.find(record.Service.str());
     if (it == view->Services.end() || record.State != HostState::Ready)
       continue;
+    ++ready[it->first][record.Version];
+    if (evacuated.contains(record.DataCentre)) {
+      it->second.EvacuatedVersions.insert(record.Version);
+      continue;
+    }
     it->second.add({record.Host, record.GateAddress, record.Version,
                     std::max<std::uint32_t>(record.Slots, 1), record.DataCentre == local, 0,
                     record.Upstream});
   }
-  addOrders(*view, progress);
+  addOrders(*view, progress, ready);
   return view;
 }
 
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -43,11 +43,22 @@
   std::set<VersionLabel> RolledBack; ///< Rolled back earlier; they receive no traffic.
   std::vector<Endpoint> Endpoints;
   std::vector<VersionPool> Pools;
+  DurationMs WarmUpTime = 0;  ///< See ServiceSpec.
+  double WarmUpPerSecond = 0; ///< See ServiceSpec.
+  /// Versions with ready upstreams in evacuated data centres, which are no endpoints. Their share
+  /// of a rollout stays theirs.
+  std::set<VersionLabel> EvacuatedVersions;
 
   /// Adds an endpoint and updates the pool of its version.
   void add(Endpoint endpoint);
   /// @returns null if the version has no endpoint.
   const VersionPool *poolOf(const VersionLabel &version) const;
+  /// @returns whether a version has ready upstreams, be it only in evacuated data centres.
+  bool hasUpstreamsOf(const VersionLabel &version) const {
+    return poolOf(version) != nullptr || EvacuatedVersions.contains(version);
+  }
+  /// @returns whether all ready upstreams are in evacuated data centres.
+  bool evacuated() const { return Endpoints.empty() && !EvacuatedVersions.empty(); }
 };
 
 /// Immutable routing data of a node; replaced as a whole on each change.
@@ -55,7 +66,8 @@
   ConfigVersion Version = 0;
   absl::flat_hash_map<std::string, RouteSpec> Routes; ///< By host and prefix.
   absl::flat_hash_map<std::string, ServiceView> Services;
-  std::vector<HostRecord> Hosts; ///< Hosts that have announced a service, including gone ones.
+  std::set<DataCentreName> Evacuated; ///< Nothing is sent to the upstreams there.
+  std::vector<HostRecord> Hosts;      ///< Hosts that have announced a service, including gone ones.
 
   /// Finds the route with the longest matching prefix; routes of the host take precedence over
   /// those without a host.
@@ -69,9 +81,12 @@
 
 /// Builds the view of one snapshot. Omits only routes with a service that the snapshot lacks.
 /// @param steadyOffset steady clock minus Unix time in ms; converts the times of declared rollouts.
+/// @param evacuated data centres whose upstreams get nothing: they are no endpoints, but count
+/// where the versions of a service are counted, as for all nodes and before the evacuation.
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
-                                const DataCentreName &local, std::int64_t steadyOffset = 0);
+                                const DataCentreName &local, std::int64_t steadyOffset = 0,
+                                const std::set<DataCentreName> &evacuated = {});
 
 /// @returns whether a version may receive the service's traffic: the current version, or the target
 /// of the rollout unless it was rolled back. A service without version and rollout accepts any
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -73,10 +73,17 @@
 
 void GateTask::setView(RoutingViewPtr view) {
   View = std::move(view);
+  const TimeMs now = steadyClockMs();
   const ServiceView *service = View->serviceNamed(AdmissionControl.upstream().Service);
+  AdmissionControl.warmUp().setPolicy(
+      service == nullptr ? WarmUpPolicy{}
+                         : WarmUpPolicy{service->WarmUpTime, service->WarmUpPerSecond},
+      now);
+  AdmissionControl.setEvacuated(View->Evacuated.contains(Settings.DataCentre), now);
+  Stats.setEvacuated(AdmissionControl.evacuated());
   AdmissionControl.setTakenBack(service != nullptr &&
                                 !mayServe(*service, AdmissionControl.upstream().Version));
-  processReleased(AdmissionControl.tick(steadyClockMs()));
+  processReleased(AdmissionControl.tick(now));
 }
 
 void GateTask::beginDrain() {
@@ -131,7 +138,8 @@
   if (findHeader(context.Request.Headers, header::Suspect) != nullptr)
     AdmissionControl.crashes().markSuspect(context.Attributes.Fingerprint, now);
   if (const std::optional<KnownLimit> known = parseKnownLimit(context.Request.Headers);
-      known.has_value() && AdmissionControl.adoptLimit(known->PerSecond, known->Process, now))
+      known.has_value() && !Settings.Http.Limit.empty() &&
+      AdmissionControl.adoptLimit(known->PerSecond, known->Process, now))
     recordLimitChange();
   Contexts.emplace(context.Request.ID, std::move(owned));
   // Other nodes may route to this host before it has received its configuration.
@@ -140,6 +148,7 @@
     return;
   }
   const AdmissionResult admitted = AdmissionControl.admit(context.Attributes, now);
+  askHealth(now);
   if (admitted.Evicted.has_value())
     refuse(*Contexts.at(*admitted.Evicted), Outcome::NotRun, Refusal::Overloaded);
   if (admitted.Result == Admission::Refused)
@@ -164,10 +173,11 @@
   const std::string process = processOf(AdmissionControl.upstream());
   if (!process.empty() && process == LeavingProcess)
     fields.push_back({header::Leaving, process});
-  const RequestLimit &limit = AdmissionControl.limit();
-  if (limit.active())
-    fields.push_back({header::Limit, absl::StrFormat("%.3f,%.2f,%s", limit.perSecond(),
-                                                     limit.available(steadyClockMs()), process)});
+  const TimeMs now = steadyClockMs();
+  if (const double limit = AdmissionControl.limitPerSecond(now); limit > 0)
+    fields.push_back(
+        {header::Limit,
+         absl::StrFormat("%.3f,%.2f,%s", limit, AdmissionControl.limitAvailable(now), process)});
   return fields;
 }
 
@@ -216,6 +226,8 @@
   Stats.recordGateRefusal(reason);
   if (!AdmissionControl.limit().mayStart(now))
     Stats.recordLimitRefusal();
+  if (!AdmissionControl.warmUp().mayStart(now))
+    Stats.recordWarmUpRefusal();
   const int status = outcome == Outcome::NotRun ? 503 : reason == Refusal::KeyInUse ? 409 : 502;
   const std::string outcomeName(nameOf(outcome));
   const std::string reasonName(nameOf(reason));
@@ -270,7 +282,10 @@
 }
 
 void GateTask::tick() {
-  processReleased(AdmissionControl.tick(steadyClockMs()));
+  const TimeMs now = steadyClockMs();
+  processReleased(AdmissionControl.tick(now));
+  if (AdmissionControl.queued() > 0)
+    askHealth(now);
   if (AdmissionControl.queued() > 0)
     QueueTimer.ensure(QueueCheckPeriod);
 }
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -68,6 +68,8 @@
   /// @param warmUpLeft remaining warm-up time of the upstream.
   void setUpstream(const LocalUpstream &upstream, const std::string &address, bool draining,
                    DurationMs warmUpLeft);
+  /// Applies the remaining warm-up time that a heartbeat of the local upstream states.
+  void recordWarmUp(DurationMs left);
   void beginDrain();
   /// Accepts no more connections and refuses the requests that were sent already.
   void stopListening();
@@ -109,6 +111,11 @@
   bool isForPresentProcess(const RequestContext &context) const;
   void handleUpstreamCut(const RequestContext &context);
   void checkForCrash();
+  /// Asks the upstream how long it stays cold, if that is to be known.
+  void askHealth(TimeMs now);
+  void handleHealth(const HttpResult &result, UpstreamGeneration generation, TimeMs askedAt);
+  /// Writes to the time line when the upstream becomes cold or warm.
+  void recordWarmUpChange(TimeMs now);
   void reportCrash();
   void respond(RequestContext &context, HttpResult result);
   std::string loadHeaderValue() const;
@@ -153,6 +160,7 @@
   std::function<void()> LeavingHandler;
   std::function<void()> AbsentHandler;
   std::string LeavingProcess; ///< Process whose responses stated that it leaves.
+  bool LoggedCold = false;    ///< In the last event of the time line.
   double LoggedLimit = 0;     ///< Limit in the last event of the time line; 0: none.
   RequestLog Log;
 };
--- a/src/traffic/gate_upstream.cpp
+++ b/src/traffic/gate_upstream.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Warm-up time of an upstream that announces none. Its latencies are no evidence until then.
-constexpr DurationMs DefaultWarmUpTime = 4 * MsPerSecond;
 /// Connect timeout for the upstream, which runs on the same host.
 constexpr DurationMs UpstreamConnectTimeout = 250;
 /// Checks of an upstream that has cut off a request, and the pause between them; well below the
@@ -24,6 +22,8 @@
 /// Relative change of a limit from which it is written to the time line again.
 constexpr double LoggedLimitChange = 0.2;
 constexpr int FirstServerError = 500;
+/// Time in which an upstream answers a question to its health path.
+constexpr DurationMs HealthTimeout = 500;
 
 } // namespace
 
@@ -48,7 +48,8 @@
   UpstreamAddress = address;
   const double limit = AdmissionControl.limit().perSecond();
   const UpstreamGeneration generation = AdmissionControl.generation();
-  AdmissionControl.setUpstream(upstream);
+  const TimeMs now = steadyClockMs();
+  AdmissionControl.setUpstream(upstream, now);
   if (AdmissionControl.limit().perSecond() != limit)
     recordLimitChange();
   AdmissionControl.setDraining(draining);
@@ -62,6 +63,59 @@
   }
 }
 
+void GateTask::recordWarmUp(DurationMs left) {
+  const TimeMs now = steadyClockMs();
+  AdmissionControl.warmUp().recordHeartbeat(left, now);
+  recordWarmUpChange(now);
+}
+
+void GateTask::recordWarmUpChange(TimeMs now) {
+  const WarmUp &warmUp = AdmissionControl.warmUp();
+  Stats.setWarmUpLimit(warmUp.perSecond(now));
+  const bool cold = warmUp.cold(now);
+  if (std::exchange(LoggedCold, cold) == cold)
+    return;
+  Control.put(TrafficTimelineEvent{"warm-up", AdmissionControl.upstream().Service.str(),
+                                   cold
+                                       ? absl::StrCat("the upstream is cold; it gets ",
+                                                      warmUp.perSecond(now), " requests per second")
+                                       : "the upstream is warm"});
+}
+
+void GateTask::askHealth(TimeMs now) {
+  WarmUp &warmUp = AdmissionControl.warmUp();
+  // Nothing at all is sent to the upstreams of an evacuated data centre.
+  if (Settings.Http.HealthPath.empty() || AdmissionControl.evacuated() || !warmUp.wantsHealth(now))
+    return;
+  warmUp.recordQuestion(now);
+  Stats.recordHealthQuestion();
+  HttpCall call;
+  call.Path = Settings.Http.HealthPath;
+  call.Timeout = HealthTimeout;
+  call.ConnectTimeout = UpstreamConnectTimeout;
+  const std::string &id = AdmissionControl.upstream().ID;
+  if (!Settings.Http.Upstream.empty() && !id.empty())
+    call.Headers.push_back({Settings.Http.Upstream, id});
+  Pool.call(UpstreamAddress, std::move(call),
+            [this, generation = AdmissionControl.generation(), now](const HttpResult &result) {
+              handleHealth(result, generation, now);
+            });
+}
+
+void GateTask::handleHealth(const HttpResult &result, UpstreamGeneration generation,
+                            TimeMs askedAt) {
+  if (generation != AdmissionControl.generation())
+    return;
+  const std::optional<DurationMs> left =
+      warmUpLeftOf(Settings.Http, result, AdmissionControl.upstream().ID);
+  if (!left.has_value())
+    return;
+  const TimeMs now = steadyClockMs();
+  AdmissionControl.warmUp().recordHealth(*left, askedAt, now);
+  recordWarmUpChange(now);
+  processReleased(AdmissionControl.tick(now));
+}
+
 bool GateTask::isForPresentProcess(const RequestContext &context) const {
   return context.Generation == AdmissionControl.generation();
 }
@@ -89,6 +143,8 @@
       AbsentHandler();
     return;
   }
+  if (kind != ResponseKind::Invalid)
+    AdmissionControl.warmUp().recordResponse(steadyClockMs());
   if (AdmissionControl.applyLimit(limitStatementOf(Settings.Http, result, kind), steadyClockMs()))
     recordLimitChange();
   if (!statesLeaving(Settings.Http, result, kind))
@@ -111,6 +167,11 @@
     refuse(context, Outcome::NotRun, Refusal::WrongUpstream);
     return;
   }
+  if (AdmissionControl.evacuated()) {
+    releaseKey(context);
+    refuse(context, Outcome::NotRun, Refusal::Evacuated);
+    return;
+  }
   context.ForwardedAtUs = steadyClockUs();
   context.ReachedUpstream = true;
   context.UpstreamAddress = UpstreamAddress;
@@ -127,6 +188,8 @@
   context.Call = 0;
   if (!result.Complete) {
     if (!result.BytesSent) {
+      if (isForPresentProcess(context))
+        AdmissionControl.warmUp().suspect(steadyClockMs());
       context.ReachedUpstream = false;
       releaseKey(context);
       refuse(context, Outcome::NotRun, Refusal::Transport);
@@ -242,7 +305,7 @@
   ++counts.Requests;
   const bool failed = !result.Complete || result.Status >= FirstServerError;
   counts.Failures += failed ? 1 : 0;
-  const bool warm = now >= WarmAt;
+  const bool warm = now >= WarmAt && !AdmissionControl.warmUp().cold(now);
   if (!failed && warm)
     ++counts.Latency[latencyBucket(static_cast<double>(steadyClockUs() - context.ForwardedAtUs))];
 }
@@ -251,6 +314,7 @@
   if (AbsentHandler)
     AbsentHandler();
   const TimeMs now = steadyClockMs();
+  AdmissionControl.warmUp().suspect(now);
   for (const std::uint64_t fingerprint : AdmissionControl.crashSuspects(CutFingerprints, now)) {
     AdmissionControl.crashes().recordCrash(fingerprint, now);
     for (const std::string &gate : peerGates())
@@ -261,6 +325,7 @@
 
 void GateTask::sendEvidence() {
   EvidenceTimer.start(EvidencePeriod);
+  recordWarmUpChange(steadyClockMs());
   if (!View)
     return;
   const std::uint64_t bucket = steadyClockMs() / EvidenceBucketMs;
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -321,7 +321,8 @@
                                  : nextEndpoint(context.Search, *service, placementOf(context, now),
                                                 EndpointStates, Random, now);
   if (endpoint == nullptr) {
-    failRequest(context, context.LastRefusal);
+    const bool evacuated = service != nullptr && service->evacuated();
+    failRequest(context, evacuated ? Refusal::Evacuated : context.LastRefusal);
     return;
   }
   countNewVersion(context, *service, *endpoint, now);
@@ -381,7 +382,9 @@
   if (const DurationMs after = parseRetryAfter(result.Headers); after != 0)
     context.RetryAfter = context.RetryAfter == 0 ? after : std::min(context.RetryAfter, after);
   context.UpstreamCuts += context.LastRefusal == Refusal::UpstreamCut ? 1 : 0;
-  context.OverloadRefusals += context.LastRefusal == Refusal::Overloaded ? 1 : 0;
+  const bool overload =
+      context.LastRefusal == Refusal::Overloaded || context.LastRefusal == Refusal::WarmingUp;
+  context.OverloadRefusals += overload ? 1 : 0;
   const bool final = isUpstreamIndependent(context.LastRefusal) ||
                      context.UpstreamCuts >= MaxUpstreamCuts ||
                      context.OverloadRefusals >= MaxOverloadRefusals;
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -80,6 +80,13 @@
                   "jasmineloom_limit_refusals_total ", LimitRefusals,
                   "\n# TYPE jasmineloom_upstream_limit_per_second gauge\n",
                   "jasmineloom_upstream_limit_per_second ", UpstreamLimit, "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_warm_up_refusals_total counter\n",
+                  "jasmineloom_warm_up_refusals_total ", WarmUpRefusals,
+                  "\n# TYPE jasmineloom_health_questions_total counter\n",
+                  "jasmineloom_health_questions_total ", HealthQuestions,
+                  "\n# TYPE jasmineloom_warm_up_limit_per_second gauge\n",
+                  "jasmineloom_warm_up_limit_per_second ", WarmUpLimit, "\n");
+  addGauge(out, "evacuated", Evacuated ? 1 : 0);
   addGauge(out, "held_version", Control.HeldVersion);
   addGauge(out, "known_version", Control.KnownVersion);
   addGauge(out, "control_bytes_in", Control.BytesIn);
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -44,6 +44,13 @@
   void recordLimitRefusal() { ++LimitRefusals; }
   /// @param perSecond limit that the local upstream names; 0: none.
   void setUpstreamLimit(double perSecond) { UpstreamLimit = perSecond; }
+  /// Counts a refusal of the gate while its upstream's warm-up limit was used up.
+  void recordWarmUpRefusal() { ++WarmUpRefusals; }
+  /// Counts a question to the upstream's health path.
+  void recordHealthQuestion() { ++HealthQuestions; }
+  /// @param perSecond warm-up limit in force; 0: none.
+  void setWarmUpLimit(double perSecond) { WarmUpLimit = perSecond; }
+  void setEvacuated(bool evacuated) { Evacuated = evacuated; }
   void setControlFigures(const ControlFigures &figures) { Control = figures; }
   /// @param longest longest lateness of the traffic task's event loop.
   void setLongestStall(DurationMs longest) { LongestStall = longest; }
@@ -74,6 +81,10 @@
   std::uint64_t Retries = 0;
   std::uint64_t LimitRefusals = 0;
   double UpstreamLimit = 0;
+  std::uint64_t WarmUpRefusals = 0;
+  std::uint64_t HealthQuestions = 0;
+  double WarmUpLimit = 0;
+  bool Evacuated = false; ///< The node's data centre.
   DurationMs LongestStall = 0;
   HeldFigures Held;
   ControlFigures Control;
--- a/src/traffic/response_check.cpp
+++ b/src/traffic/response_check.cpp
@@ -14,6 +14,8 @@
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 constexpr int StatusMisdirected = 421;
+/// Longest remaining warm-up time that a health response may state.
+constexpr DurationMs MaxWarmUpLeft = 600 * MsPerSecond;
 /// Longest text of a limit that is read as a number.
 constexpr std::size_t MaxLimitLength = 32;
 
@@ -71,6 +73,25 @@
   return LimitNamed{perSecond};
 }
 
+std::optional<DurationMs> warmUpLeftOf(const HttpHeaderNames &headerNames, const HttpResult &result,
+                                       const std::string &upstream) {
+  if (!result.Complete)
+    return std::nullopt;
+  const std::string *sender = find(result, headerNames.RespondingUpstream);
+  const bool isOther = sender != nullptr ? !upstream.empty() && *sender != upstream
+                                         : !headerNames.RespondingUpstream.empty();
+  if (isOther)
+    return std::nullopt;
+  const bool success = result.Status >= FirstSuccess && result.Status < FirstRedirect;
+  const std::string *text = find(result, headerNames.WarmUpLeft);
+  if (text == nullptr)
+    return success ? std::optional<DurationMs>(0) : std::nullopt;
+  DurationMs left = 0;
+  if (!absl::SimpleAtoi(*text, &left))
+    return std::nullopt;
+  return std::min(left, MaxWarmUpLeft);
+}
+
 bool statesLeaving(const HttpHeaderNames &headerNames, const HttpResult &result,
                    ResponseKind kind) {
   const std::string *leaving = find(result, headerNames.Leaving);
--- a/src/traffic/response_check.h
+++ b/src/traffic/response_check.h
@@ -5,6 +5,8 @@
 #include "environment.h"
 #include "http/http_pool.h"
 
+#include <optional>
+
 namespace jasmineloom {
 
 /// Classification of a response from an upstream.
@@ -31,6 +33,13 @@
 bool isFromOtherProcess(const HttpHeaderNames &headerNames, const HttpResult &result,
                         ResponseKind kind);
 
+/// Reads the remaining warm-up time from a health response.
+/// @param upstream identity of the upstream that was asked; may be empty.
+/// @returns the time in ms, 0 if the upstream is warm; nullopt if the response states nothing or is
+/// that of another process.
+std::optional<DurationMs> warmUpLeftOf(const HttpHeaderNames &headerNames, const HttpResult &result,
+                                       const std::string &upstream);
+
 /// @returns whether a response states that its upstream leaves.
 /// @param kind result of classifyResponse().
 bool statesLeaving(const HttpHeaderNames &headerNames, const HttpResult &result, ResponseKind kind);
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -433,6 +433,8 @@
   const std::optional<Announcement> before = AnnouncedUpstream.current();
   const HeartbeatResult result = AnnouncedUpstream.applyHeartbeat(announcement, steadyClockMs());
   Stats.recordHeartbeat(result);
+  if (result == HeartbeatResult::Changed || result == HeartbeatResult::Renewed)
+    LocalGate->recordWarmUp(announcement.WarmUpLeft);
   recordProcessChange(before, announcement);
   if (result == HeartbeatResult::Changed) {
     // A later departure of this process is another one.
