Explain where a request would go now, and why, without sending it

Operators asked which upstream a request would reach and what keeps others out.

Ruled out: a marked trial request, which loads what it measures; a separate score, which could tell another choice than placement makes.

--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -268,6 +268,36 @@
   sharePerMille @2 :UInt32;
 }
 
+struct ExplainedHost {
+  host @0 :Text;
+  dataCentre @1 :Text;
+  version @2 :Text;
+  slots @3 :UInt32;
+  occupancy @4 :UInt32;         # Requests that are estimated to run or wait there.
+  serviceMs @5 :UInt32;         # Mean service time; 0: not known.
+  failurePerMille @6 :UInt32;
+  reportAgeMs @7 :Int64 = -1;   # Age of its last load report; -1: none.
+  chancePerMille @8 :UInt32;    # Chance of the request's first attempt to go there.
+  excluded @9 :List(Text);      # Why it gets no new requests; empty: it may get some.
+}
+
+struct ExplainedService {
+  service @0 :Text;
+  sharePerMille @1 :UInt32;     # Of the route's requests.
+  version @2 :Text;
+  newVersion @3 :Text;          # Of a running rollout; empty: none.
+  newSharePerMille @4 :UInt32;
+  hosts @5 :List(ExplainedHost);
+}
+
+struct Explanation {
+  version @0 :UInt64;           # Of the configuration in force at the node; 0: none.
+  route @1 :Text;               # Empty: no route matches.
+  notes @2 :List(Text);         # What decides about the request before a host is chosen.
+  services @3 :List(ExplainedService);
+  host @4 :Text;                # Node that explains.
+}
+
 interface Operator {
   apply @0 (declarations :Declarations, operationId :Text, author :Text, baseVersion :UInt64, dryRun :Bool)
       -> (outcome :Outcome, changes :List(Text));
@@ -284,4 +314,6 @@
   nodeStatus @9 () -> (node :NodeStatus);
   setLogLevel @10 (level :Text) -> (outcome :Outcome);
   drain @11 () -> (outcome :Outcome);
+  explain @12 (host :Text, path :Text, workspace :Text, bytes :UInt64) -> (explanation :Explanation);
+  # Where a request that arrives at this node would go now. Nothing is sent.
 }
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -297,6 +297,18 @@
   return it != Entries.end() && now < it->second.EjectedUntil;
 }
 
+DurationMs EndpointStats::ejectionLeft(const HostID &host, TimeMs now) const {
+  const auto it = Entries.find(host.str());
+  return ejected(host, now) ? it->second.EjectedUntil - now : 0;
+}
+
+std::optional<DurationMs> EndpointStats::reportAge(const HostID &host, TimeMs now) const {
+  const auto it = Entries.find(host.str());
+  if (it == Entries.end() || it->second.ReportedAt == 0)
+    return std::nullopt;
+  return now > it->second.ReportedAt ? now - it->second.ReportedAt : 0;
+}
+
 std::uint32_t EndpointStats::occupancy(const HostID &host, TimeMs now) const {
   const auto it = Entries.find(host.str());
   if (it == Entries.end())
--- a/src/balance/placement.h
+++ b/src/balance/placement.h
@@ -61,6 +61,10 @@
   double limitOf(const Endpoint &endpoint) const;
   std::uint32_t inFlight(const HostID &host) const;
   bool ejected(const HostID &host, TimeMs now) const;
+  /// @returns the time until an unreachable host is tried again, ms; 0 if it is not ejected.
+  DurationMs ejectionLeft(const HostID &host, TimeMs now) const;
+  /// @returns the age of the host's last load report; nullopt if there is none.
+  std::optional<DurationMs> reportAge(const HostID &host, TimeMs now) const;
   /// @returns estimated requests of all nodes that run or wait at the host.
   std::uint32_t occupancy(const HostID &host, TimeMs now) const;
   /// @returns the host's mean service time in ms; 0: unknown.
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -222,6 +222,21 @@
   spawn(readDepartures(), "departures");
 }
 
+void ControlTask::handle(const ExplainReply &message) {
+  const auto it = Explanations.find(message.Number);
+  if (it == Explanations.end())
+    return;
+  it->second->fulfill(Explanation(message.Result));
+  Explanations.erase(it);
+}
+
+kj::Promise<Explanation> ControlTask::explain(ExplainQuery query) {
+  auto pair = kj::newPromiseAndFulfiller<Explanation>();
+  Explanations[++LastExplanation] = kj::mv(pair.fulfiller);
+  Traffic.put(ExplainRequest{LastExplanation, std::move(query)});
+  return kj::mv(pair.promise);
+}
+
 void ControlTask::handle(const TrafficTimelineEvent &message) {
   recordEvent(message.Kind, message.Subject, message.Text);
 }
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -89,6 +89,8 @@
   /// Runs a loop of the task in the background and starts it again after a failure.
   /// @param name name of the loop in the log.
   void spawnLoop(std::function<kj::Promise<void>()> loop, const char *name);
+  /// Asks the traffic task where a request would go.
+  kj::Promise<Explanation> explain(ExplainQuery query);
   /// Writes the status of this node for operators.
   void writeStatus(wire::NodeStatus::Builder to);
   const TreePosition &treePosition() const { return Position; }
@@ -151,6 +153,7 @@
   void handle(const TrafficTimelineEvent &message);
   void handle(const UpstreamDeparted &message);
   void handle(const DeparturesNeeded &message);
+  void handle(const ExplainReply &message);
 
   kj::Promise<void> keepRunning(std::function<kj::Promise<void>()> loop, const char *name);
   kj::Promise<void> wakeLoop();
@@ -291,6 +294,8 @@
   WatchSchedule Watches;
   std::map<RolloutID, OrderState> Orders;
   TimeMs SuspendedTotal = 0; ///< Boot clock minus steady clock at the last tick.
+  std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<Explanation>>> Explanations;
+  std::uint64_t LastExplanation = 0; ///< Number of the last query.
   TimeMs NextSeeds = 0;
   TimeMs NextHeadPoll = 0;
   TimeMs NextProbe = 0;
--- a/src/jasminectl.cpp
+++ b/src/jasminectl.cpp
@@ -53,6 +53,11 @@
     {"id", SettingType::Text, 0, 128, "", "", "Id of a rollout"},
     {"to", SettingType::Text, 0, 128, "", "", "Target version of a rollout"},
     {"within", SettingType::Number, 1, 864000, "600", "s", "Time from now to a rollout's deadline"},
+    {"workspace", SettingType::Text, 0, 128, "", "", "Workspace of the caller to explain"},
+    {"data-centre", SettingType::Text, 0, 64, "", "",
+     "Data centre of the caller to explain; empty: that of the asked node"},
+    {"bytes", SettingType::Number, 0, 1L << 40, "0", "bytes",
+     "Body size of the request to explain"},
     {"filter", SettingType::Text, 0, 128, "", "",
      "Shows only time line events of this version, rollout, route, host or kind"},
     {"reason", SettingType::Text, 0, 256, "operator", "", "Reason for aborting a rollout"},
@@ -70,6 +75,7 @@
     "  jasminectl status             lists the nodes, their versions and roles\n"
     "  jasminectl in-force VERSION   waits until a version is in force on all nodes\n"
     "  jasminectl timeline           merges the nodes' time lines\n"
+    "  jasminectl explain HOST PATH  shows where a request would go now, and why; sends nothing\n"
     "  jasminectl drain | log-level LEVEL   for the node given by --node\n"
     "Exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 store unavailable,\n"
     "6 timeout, 7 outcome unknown (retry with the same --operation-id), 8 no node reachable";
@@ -146,6 +152,8 @@
       return inForce();
     if (subcommand == "timeline")
       return timeline();
+    if (subcommand == "explain")
+      return explain();
     if (subcommand == "drain")
       return printOutcome(Node->Operator.drainRequest().send().wait(Io.waitScope).getOutcome());
     if (subcommand == "log-level") {
@@ -425,6 +433,83 @@
     return ExitOk;
   }
 
+  /// Connects to a node of the caller's data centre, if one is given.
+  /// @returns false if no node there can be reached.
+  bool connectTo(const std::string &dataCentre) {
+    if (dataCentre.empty())
+      return true;
+    const auto status = Node->Operator.statusRequest().send().wait(Io.waitScope);
+    for (auto host : status.getHosts()) {
+      if (wireText(host.getDataCentre()) != dataCentre)
+        continue;
+      const auto failed = kj::runCatchingExceptions(
+          [&] { Node = Peers.get(wireText(host.getRpcAddress())).wait(Io.waitScope); });
+      if (failed == nullptr)
+        return true;
+    }
+    return false;
+  }
+
+  int explain() {
+    if (argument(2).empty()) {
+      std::cerr << "jasminectl: explain requires a host (- for none) and a path\n";
+      return ExitUsage;
+    }
+    const std::string dataCentre = Values.text("data-centre");
+    if (!connectTo(dataCentre)) {
+      std::cerr << "jasminectl: no node reachable in data centre " << dataCentre << "\n";
+      return ExitUnreachable;
+    }
+    auto request = Node->Operator.explainRequest();
+    request.setHost(argument(1) == "-" ? "" : argument(1));
+    request.setPath(argument(2));
+    request.setWorkspace(Values.text("workspace"));
+    request.setBytes(static_cast<std::uint64_t>(Values.number("bytes")));
+    const auto response = request.send().wait(Io.waitScope);
+    if (json())
+      printJson(response.getExplanation());
+    else
+      printExplanation(response.getExplanation());
+    return ExitOk;
+  }
+
+  static void printExplanation(wire::Explanation::Reader explanation) {
+    std::cout << "at " << explanation.getHost().cStr() << ", version " << explanation.getVersion()
+              << ", route "
+              << (explanation.getRoute().size() == 0 ? "none" : explanation.getRoute().cStr())
+              << "\n";
+    for (auto note : explanation.getNotes())
+      std::cout << "  " << note.cStr() << "\n";
+    for (auto service : explanation.getServices())
+      printExplainedService(service);
+  }
+
+  static void printExplainedService(wire::ExplainedService::Reader service) {
+    std::cout << absl::StreamFormat("service %s: %.1f%% of the route's requests, version %s",
+                                    service.getService().cStr(), service.getSharePerMille() / 10.0,
+                                    service.getVersion().cStr());
+    if (service.getNewVersion().size() != 0)
+      std::cout << absl::StreamFormat(", new version %s with %.1f%%",
+                                      service.getNewVersion().cStr(),
+                                      service.getNewSharePerMille() / 10.0);
+    std::cout
+        << "\n  CHANCE  HOST           DATA CENTRE  VERSION  LOAD     SERVICE  FAILED  REPORT  "
+           "EXCLUDED\n";
+    for (auto host : service.getHosts()) {
+      std::string excluded;
+      for (auto reason : host.getExcluded())
+        absl::StrAppend(&excluded, excluded.empty() ? "" : "; ", reason.cStr());
+      const std::string age =
+          host.getReportAgeMs() < 0 ? "none" : absl::StrCat(host.getReportAgeMs(), " ms");
+      std::cout << absl::StreamFormat("  %5.1f%%  %-14s %-12s %-8s %-8s %-8s %5.1f%%  %-7s %s\n",
+                                      host.getChancePerMille() / 10.0, host.getHost().cStr(),
+                                      host.getDataCentre().cStr(), host.getVersion().cStr(),
+                                      absl::StrCat(host.getOccupancy(), "/", host.getSlots()),
+                                      absl::StrCat(host.getServiceMs(), " ms"),
+                                      host.getFailurePerMille() / 10.0, age, excluded);
+    }
+  }
+
   int timeline() {
     std::vector<TimelineEvent> events;
     const auto status = Node->Operator.statusRequest().send().wait(Io.waitScope);
--- a/src/operator/operator_service.cpp
+++ b/src/operator/operator_service.cpp
@@ -330,6 +330,17 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> OperatorService::explain(ExplainContext context) {
+  const auto params = context.getParams();
+  const ExplainQuery query{wireText(params.getHost()), wireText(params.getPath()),
+                           WorkspaceName(wireText(params.getWorkspace())), params.getBytes()};
+  return Control.explain(query).then([this, context](Explanation explanation) mutable {
+    auto to = context.getResults().initExplanation();
+    writeExplanation(to, explanation);
+    to.setHost(Control.settings().Identity.Host.str());
+  });
+}
+
 kj::Promise<void> OperatorService::drain(DrainContext context) {
   Control.drain("operator");
   context.getResults().initOutcome().setMessage("draining");
--- a/src/operator/operator_service.h
+++ b/src/operator/operator_service.h
@@ -20,6 +20,7 @@
   kj::Promise<void> nodeStatus(NodeStatusContext context) override;
   kj::Promise<void> setLogLevel(SetLogLevelContext context) override;
   kj::Promise<void> drain(DrainContext context) override;
+  kj::Promise<void> explain(ExplainContext context) override;
 
 private:
   ControlTask &Control;
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/gate_base.h"
+#include "balance/explanation.h"
 #include "mailbox.h"
 #include "rollout/rollout_type.h"
 #include "routing/routing_view.h"
@@ -82,9 +83,15 @@
   bool FromStore = false; ///< False: those that other nodes know.
 };
 
+/// Asks where a request would go; the result is an ExplainReply with the same number.
+struct ExplainRequest {
+  std::uint64_t Number = 0;
+  ExplainQuery Query;
+};
+
 using TrafficCommand =
     std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain, ControlFigures, StopTask,
-                 ApplySettings, DepartureRecorded, DeparturesRestored>;
+                 ApplySettings, DepartureRecorded, DeparturesRestored, ExplainRequest>;
 
 // --- To the control task ---
 
@@ -135,9 +142,14 @@
   std::string Text;
 };
 
-using ControlEvent =
-    std::variant<UpstreamAnnounced, EvidenceUpdate, StoreReply, StoreWatchEvent, DrainRequested,
-                 GateClosing, Drained, TrafficTimelineEvent, UpstreamDeparted, DeparturesNeeded>;
+struct ExplainReply {
+  std::uint64_t Number = 0;
+  Explanation Result;
+};
+
+using ControlEvent = std::variant<UpstreamAnnounced, EvidenceUpdate, StoreReply, StoreWatchEvent,
+                                  DrainRequested, GateClosing, Drained, TrafficTimelineEvent,
+                                  UpstreamDeparted, DeparturesNeeded, ExplainReply>;
 
 using TrafficMailbox = Mailbox<TrafficCommand>;
 using ControlMailbox = Mailbox<ControlEvent>;
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -164,6 +164,10 @@
   }
 }
 
+Explanation IngressTask::explain(const ExplainQuery &query, TimeMs now) const {
+  return explainRequest(View.get(), EndpointStates, query, Random, now);
+}
+
 void IngressTask::updateRetryBudgets() {
   if (!View)
     return;
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -29,6 +29,8 @@
   /// @returns false if the port can't be bound.
   bool listen();
   void setView(RoutingViewPtr view, TimeMs now);
+  /// Explains where a request of a local caller would go. Nothing is sent.
+  Explanation explain(const ExplainQuery &query, TimeMs now) const;
   /// Applies a changed RetrySlack or number of hosts to all retry budgets.
   void updateRetryBudgets();
   /// Refuses requests that may not end before the process does.
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -263,6 +263,10 @@
 
 void TrafficTask::handle(ControlFigures &message) { Stats.setControlFigures(message); }
 
+void TrafficTask::handle(ExplainRequest &message) {
+  Control.put(ExplainReply{message.Number, Ingress->explain(message.Query, steadyClockMs())});
+}
+
 void TrafficTask::handle(StopTask &message) {
   static_cast<void>(message);
   StopSince = steadyClockMs();
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -20,6 +20,38 @@
   return {DataCentreName(wireText(from.getDataCentre())), from.getEra(), from.getRevision(),
           from.getActive()};
 }
+void writeTexts(capnp::List<capnp::Text>::Builder to, const std::vector<std::string> &texts) {
+  unsigned n = 0;
+  for (const std::string &text : texts)
+    to.set(n++, text);
+}
+
+void writeExplainedHost(wire::ExplainedHost::Builder to, const ExplainedHost &host) {
+  to.setHost(host.Host.str());
+  to.setDataCentre(host.DataCentre.str());
+  to.setVersion(host.Version.str());
+  to.setSlots(host.Slots);
+  to.setOccupancy(host.Occupancy);
+  to.setServiceMs(host.ServiceMs);
+  to.setFailurePerMille(host.FailurePerMille);
+  if (host.ReportAge.has_value())
+    to.setReportAgeMs(static_cast<std::int64_t>(*host.ReportAge));
+  to.setChancePerMille(host.ChancePerMille);
+  writeTexts(to.initExcluded(sizeOf(host.Excluded.size())), host.Excluded);
+}
+
+void writeExplainedService(wire::ExplainedService::Builder to, const ExplainedService &service) {
+  to.setService(service.Service.str());
+  to.setSharePerMille(service.SharePerMille);
+  to.setVersion(service.Version.str());
+  to.setNewVersion(service.NewVersion.str());
+  to.setNewSharePerMille(service.NewSharePerMille);
+  auto hosts = to.initHosts(sizeOf(service.Hosts.size()));
+  unsigned n = 0;
+  for (const ExplainedHost &host : service.Hosts)
+    writeExplainedHost(hosts[n++], host);
+}
+
 } // namespace
 
 void writeRecord(wire::HostRecord::Builder to, const HostRecord &record) {
@@ -231,4 +263,14 @@
   return message;
 }
 
+void writeExplanation(wire::Explanation::Builder to, const Explanation &explanation) {
+  to.setVersion(explanation.Version);
+  to.setRoute(explanation.Route.str());
+  writeTexts(to.initNotes(sizeOf(explanation.Notes.size())), explanation.Notes);
+  auto services = to.initServices(sizeOf(explanation.Services.size()));
+  unsigned n = 0;
+  for (const ExplainedService &it : explanation.Services)
+    writeExplainedService(services[n++], it);
+}
+
 } // namespace jasmineloom
--- a/src/wire_func.h
+++ b/src/wire_func.h
@@ -1,6 +1,7 @@
 /// @file wire_func.h Conversion of messages between nodes to and from Cap'n Proto.
 #pragma once
 
+#include "balance/explanation.h"
 #include "mesh/mesh_node.h"
 #include "timeline.h"
 
@@ -9,6 +10,7 @@
 namespace jasmineloom {
 
 void writeExchange(wire::Exchange::Builder to, const ExchangeMessage &message);
+void writeExplanation(wire::Explanation::Builder to, const Explanation &explanation);
 ExchangeMessage readExchange(wire::Exchange::Reader from);
 void writeRecord(wire::HostRecord::Builder to, const HostRecord &record);
 HostRecord readRecord(wire::HostRecord::Reader from);
