Check the keys of workspaces at the ingress

Requests were sent whatever key they carried: the key went on to the upstream, the workspace was not named, and a key that no configuration held was as good as any.

WorkspaceTable finds the workspace of a key's digest, compared in constant time; it is built once for each version and shared by the routing views. decideAccess() decides on a request before anything is sent: without a key 401; with an unknown one 401 where the configuration is known to be recent, and 503 with a time to come back elsewhere, since a caller doesn't repeat a request after 401. The workspace's worth goes before the route's.

Once a configuration with workspaces has been in force, the headers of keys and workspaces belong to the mesh: both are removed from each request, on public routes as well, and the workspace's name is set for the upstream. Credentials of another scheme, and all headers where no workspaces are configured, are passed on as before.

Whether the configuration is recent is not proved yet, so that unknown keys get 503; the time of revocation is not in force yet.

--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -290,9 +290,14 @@
     return;
   std::vector<HostRecord> hosts;
   Node.hosts().forEach([&hosts](const HostRecord &record, TimeMs) { hosts.push_back(record); });
+  const SnapshotPtr &held = Node.config().held();
+  if (!Workspaces || PublishedVersion != held->Version)
+    Workspaces = workspaceTableOf(*held);
+  PublishedVersion = held->Version;
   Traffic.put(PublishView{buildRoutingView(
-      *Node.config().held(), hosts, Node.progress(), Settings.Identity.DataCentre,
-      static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()))});
+      *held, hosts, Node.progress(), Settings.Identity.DataCentre,
+      static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()),
+      Workspaces)});
 }
 
 kj::Promise<void> ControlTask::waitForUpdates(const HostID &peer, DurationMs hold) {
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -271,6 +271,8 @@
   std::map<HostID, std::uint32_t> ProbeFailures;
   std::vector<HeldExchange> HeldExchanges;
   std::set<RolloutID> EndingRollouts;
+  WorkspaceTablePtr Workspaces;       ///< Of the published configuration.
+  ConfigVersion PublishedVersion = 0; ///< Of the last routing view; 0: none.
   TimeMs PublishDue = 0; ///< When the next routing view is published; 0: none is scheduled.
   bool TreeUpdatePending = false;
   bool FloorConfirmed = false;
--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -112,9 +112,11 @@
 
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
-                                const DataCentreName &local, std::int64_t steadyOffset) {
+                                const DataCentreName &local, std::int64_t steadyOffset,
+                                WorkspaceTablePtr workspaces) {
   auto view = std::make_shared<RoutingView>();
   view->Version = snapshot.Version;
+  view->Workspaces = workspaces ? std::move(workspaces) : workspaceTableOf(snapshot);
   for (const ServiceSpec *spec : servicesOf(snapshot)) {
     ServiceView &service = view->Services[spec->Name.str()];
     service.Name = spec->Name;
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -4,6 +4,7 @@
 #include "config/config_type.h"
 #include "mesh/host_type.h"
 #include "rollout/rollout_type.h"
+#include "workspace/workspace_table.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -55,6 +56,7 @@
   ConfigVersion Version = 0;
   absl::flat_hash_map<std::string, RouteSpec> Routes; ///< By host and prefix.
   absl::flat_hash_map<std::string, ServiceView> Services;
+  WorkspaceTablePtr Workspaces = std::make_shared<const WorkspaceTable>(); ///< Never null.
   std::vector<HostRecord> Hosts; ///< Hosts that have announced a service, including gone ones.
 
   /// Finds the route with the longest matching prefix; routes of the host take precedence over
@@ -69,9 +71,11 @@
 
 /// Builds the view of one snapshot. Omits only routes with a service that the snapshot lacks.
 /// @param steadyOffset steady clock minus Unix time in ms; converts the times of declared rollouts.
+/// @param workspaces those of the snapshot; null: they are read from it.
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
-                                const DataCentreName &local, std::int64_t steadyOffset = 0);
+                                const DataCentreName &local, std::int64_t steadyOffset = 0,
+                                WorkspaceTablePtr workspaces = nullptr);
 
 /// @returns whether a version may receive the service's traffic: the current version, or the target
 /// of the rollout unless it was rolled back. A service without version and rollout accepts any
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -35,6 +35,9 @@
   DurationMs StopTime = 0; ///< Time limit for a drain, from its start to the end of the process.
   /// Retries that all nodes together may send to a service beyond the budgeted share of requests.
   double RetrySlack = 0;
+  /// A key is refused this long after it was taken away, in touch or not; 0: off.
+  DurationMs RevocationTime = 0;
+  DurationMs InForceTime = 0; ///< Maximum time until a configuration change is in force everywhere.
   std::string Secret;
   std::size_t MaxBody = 0;
   std::size_t MaxHeaderBytes = 0;
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -2,6 +2,7 @@
 #include "traffic/ingress_task.h"
 
 #include "traffic/drain_rule.h"
+#include "workspace/access_rule.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -121,6 +122,7 @@
   ServiceName CallerName;      ///< Service on this host when the request arrived.
   RouteSpec Route;
   ServiceName Service;
+  WorkspaceName Workspace; ///< Empty: the route needs no key.
   std::string Key;
   TimeMs Deadline = 0;
   TimeMs ArrivedAt = 0;
@@ -157,6 +159,7 @@
 
 void IngressTask::setView(RoutingViewPtr view, TimeMs now) {
   View = std::move(view);
+  KeysInUse |= !View->Workspaces->workspaces().empty();
   updateRetryBudgets();
   for (const auto &[name, service] : View->Services) {
     for (const Endpoint &endpoint : service.Endpoints)
@@ -206,6 +209,18 @@
   return Budgets.try_emplace(service, MaxRetryTokens).first->second;
 }
 
+std::string IngressTask::takeCredentials(HttpRequest &request) const {
+  const HttpHeaderNames &names = Settings.Http;
+  std::string credentials = headerValue(request.Headers, names.ApiKey);
+  std::erase_if(request.Headers, [&names](const HeaderField &field) {
+    // Credentials of another scheme are the upstream's own.
+    const bool key = !names.ApiKey.empty() && absl::EqualsIgnoreCase(field.Name, names.ApiKey) &&
+                     absl::StartsWithIgnoreCase(field.Value, names.ApiKeyScheme);
+    return key || (!names.Workspace.empty() && absl::EqualsIgnoreCase(field.Name, names.Workspace));
+  });
+  return credentials;
+}
+
 void IngressTask::handleRequest(HttpRequest request) {
   const TimeMs now = steadyClockMs();
   LastRequestAt = now;
@@ -231,6 +246,18 @@
     return;
   }
   context.Route = *route;
+  const std::string credentials =
+      KeysInUse || route->NeedsKey ? takeCredentials(context.Request) : std::string();
+  const AccessDecision access =
+      decideAccess(*route, credentials, *View->Workspaces,
+                   {Settings.Http.ApiKeyScheme, Settings.RevocationTime, Settings.InForceTime},
+                   ConfigProvedAt, bootClockMs());
+  if (const auto *refused = std::get_if<AccessRefused>(&access); refused != nullptr) {
+    refuse(context, Outcome::NotRun, refused->Reason);
+    return;
+  }
+  context.Workspace = std::get<AccessGranted>(access).Workspace;
+  context.Route.Worth = std::get<AccessGranted>(access).Worth;
   context.Service = chooseService(*route, context.RoutingDraw >> SplitDrawShift);
   DurationMs timeout = route->Deadline;
   std::uint64_t requestedMs = 0;
@@ -275,6 +302,8 @@
   call.Headers.push_back({header::Secret, Settings.Secret});
   if (!Settings.Http.CallerService.empty() && !context.CallerName.empty())
     call.Headers.push_back({Settings.Http.CallerService, context.CallerName.str()});
+  if (!context.Workspace.empty() && !Settings.Http.Workspace.empty())
+    call.Headers.push_back({Settings.Http.Workspace, context.Workspace.str()});
   if (!context.Route.Idempotent)
     call.Headers.push_back({header::Once, "1"});
   if (context.UpstreamCuts > 0)
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -29,6 +29,8 @@
   /// @returns false if the port can't be bound.
   bool listen();
   void setView(RoutingViewPtr view, TimeMs now);
+  /// @param at latest time, on the boot clock, at which the configuration in force was the newest.
+  void setConfigProof(TimeMs at) { ConfigProvedAt = at; }
   /// Applies a changed RetrySlack or number of hosts to all retry budgets.
   void updateRetryBudgets();
   /// Refuses requests that may not end before the process does.
@@ -50,6 +52,9 @@
 
   void handleRequest(HttpRequest request);
   void handleDisconnect(RequestID id);
+  /// Removes what only the node may set from the header fields of a caller's request.
+  /// @returns the value of the key's header.
+  std::string takeCredentials(HttpRequest &request) const;
   bool mayAccept(DurationMs timeout, TimeMs now) const;
   void endPending();
   static PlacementRequest placementOf(const RequestContext &context, TimeMs now);
@@ -81,6 +86,10 @@
   std::mt19937_64 Random;
   RequestLog Log;
   TimeMs LastRequestAt = 0;
+  TimeMs ConfigProvedAt = 0; ///< On the boot clock; 0: never.
+  /// A configuration with workspaces was in force: the headers of keys and workspaces are the
+  /// mesh's.
+  bool KeysInUse = false;
   std::optional<TimeMs> DrainSince;
   bool Closing = false; ///< New requests are refused because the process is shutting down.
   std::map<RequestID, std::unique_ptr<RequestContext>> Contexts;
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -6,7 +6,10 @@
 #include "platform_environment.h"
 #include "traffic/peer_call.h"
 #include "traffic/traffic_task.h"
+#include "workspace/key_digest.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -323,6 +326,70 @@
     close(fd);
 }
 
+// Guards against a key that reaches an upstream, and a workspace that a caller sets itself.
+BOOST_AUTO_TEST_CASE(keys_go_no_further_than_the_ingress) {
+  struct Case {
+    bool Workspaces;
+    bool NeedsKey;
+    const char *Sent;
+    std::vector<const char *> Received;
+    std::vector<const char *> Removed;
+  };
+  for (const Case &it :
+       {Case{true, true, "authorization: token k1", {"tenant: big\r\n"}, {"k1", "forged"}},
+        {true, false, "Authorization: Token k1", {}, {"k1", "tenant", "forged"}},
+        {true, false, "Authorization: Basic b1", {"basic b1"}, {"tenant", "forged"}},
+        {false, false, "Authorization: Token t1", {"token t1", "forged"}, {}}}) {
+    PlatformTask task;
+    const int gate = listenOn(UpstreamPort);
+    std::shared_ptr<RoutingView> view = viewOfOneGate();
+    view->Routes.at("/x").NeedsKey = it.NeedsKey;
+    WorkspaceSpec workspace;
+    workspace.Name = WorkspaceName("big");
+    workspace.Keys = {digestOfKey("k1")};
+    if (it.Workspaces)
+      view->Workspaces = std::make_shared<const WorkspaceTable>(
+          std::vector{static_cast<const WorkspaceSpec *>(&workspace)});
+    task.Inbox.put(PublishView{view});
+    usleep(50000);
+    const int caller = connectToIngress();
+    sendText(caller, absl::StrCat("GET /x HTTP/1.1\r\nHost: x\r\nTenant: forged\r\n", it.Sent,
+                                  "\r\nauthorization: Token k2\r\n\r\n"));
+    BOOST_REQUIRE(isConnected(gate, 2000));
+    const int connection = accept(gate, nullptr, nullptr);
+    const std::string received = absl::AsciiStrToLower(readHead(connection));
+    for (const char *text : it.Received)
+      BOOST_TEST(absl::StrContains(received, text), it.Sent << " gave " << received);
+    for (const char *text : it.Removed)
+      BOOST_TEST(!absl::StrContains(received, text), it.Sent << " gave " << received);
+    BOOST_TEST(absl::StrContains(received, "k2") == !it.Workspaces, received);
+    for (const int fd : {caller, connection, gate})
+      close(fd);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(requests_without_a_known_key_are_not_sent) {
+  PlatformTask task;
+  const int gate = listenOn(UpstreamPort);
+  std::shared_ptr<RoutingView> view = viewOfOneGate();
+  view->Routes.at("/x").NeedsKey = true;
+  task.Inbox.put(PublishView{view});
+  usleep(50000);
+  const int caller = connectToIngress();
+  sendText(caller, "GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+  const std::string missing = readHead(caller);
+  BOOST_TEST(missing.find("HTTP/1.1 401 ") == 0U, missing);
+  // This node has no proof that its configuration is the newest.
+  const int second = connectToIngress();
+  sendText(second, "GET /x HTTP/1.1\r\nHost: x\r\nAuthorization: Token k1\r\n\r\n");
+  const std::string unproved = readHead(second);
+  BOOST_TEST(unproved.find("HTTP/1.1 503 ") == 0U, unproved);
+  BOOST_TEST(absl::StrContains(absl::AsciiStrToLower(unproved), "retry-after"), unproved);
+  BOOST_TEST(!isConnected(gate, 100));
+  for (const int fd : {caller, second, gate})
+    close(fd);
+}
+
 // Guards against a departure that is acknowledged while only this process knows of it.
 BOOST_AUTO_TEST_CASE(departure_is_acknowledged_once_it_is_recorded_or_its_time_is_up) {
   PlatformTask task({.RecordsDepartures = true});
