--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -222,6 +222,21 @@
   spawn(readDepartures(), "departures");
 }
 
+void ControlTask::handle(const ExplainReply &message) {
+  const auto it = Explanations.find(message.Number);
+  if (it == Explanations.end())
+    return;
+  it->second->fulfill(Explanation(message.Result));
+  Explanations.erase(it);
+}
+
+kj::Promise<Explanation> ControlTask::explain(ExplainQuery query) {
+  auto pair = kj::newPromiseAndFulfiller<Explanation>();
+  Explanations[++LastExplanation] = kj::mv(pair.fulfiller);
+  Traffic.put(ExplainRequest{LastExplanation, std::move(query)});
+  return kj::mv(pair.promise);
+}
+
 void ControlTask::handle(const TrafficTimelineEvent &message) {
   recordEvent(message.Kind, message.Subject, message.Text);
 }
@@ -290,10 +305,14 @@
     return;
   std::vector<HostRecord> hosts;
   Node.hosts().forEach([&hosts](const HostRecord &record, TimeMs) { hosts.push_back(record); });
+  const SnapshotPtr &held = Node.config().held();
+  if (!Workspaces || PublishedVersion != held->Version)
+    Workspaces = workspaceTableOf(*held);
+  PublishedVersion = held->Version;
   const RoutingViewPtr view = buildRoutingView(
-      *Node.config().held(), hosts, Node.progress(), Settings.Identity.DataCentre,
+      *held, hosts, Node.progress(), Settings.Identity.DataCentre,
       static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()),
-      Node.evacuated());
+      Workspaces, Node.evacuated());
   recordEvacuations(*view);
   Traffic.put(PublishView{view});
 }
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -4,6 +4,7 @@
 #include "config/config_type.h"
 #include "mesh/host_type.h"
 #include "rollout/rollout_type.h"
+#include "workspace/workspace_table.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -66,6 +67,7 @@
   ConfigVersion Version = 0;
   absl::flat_hash_map<std::string, RouteSpec> Routes; ///< By host and prefix.
   absl::flat_hash_map<std::string, ServiceView> Services;
+  WorkspaceTablePtr Workspaces = std::make_shared<const WorkspaceTable>(); ///< Never null.
   std::set<DataCentreName> Evacuated; ///< Nothing is sent to the upstreams there.
   std::vector<HostRecord> Hosts;      ///< Hosts that have announced a service, including gone ones.
 
@@ -81,11 +83,13 @@
 
 /// Builds the view of one snapshot. Omits only routes with a service that the snapshot lacks.
 /// @param steadyOffset steady clock minus Unix time in ms; converts the times of declared rollouts.
+/// @param workspaces those of the snapshot; null: they are read from it.
 /// @param evacuated data centres whose upstreams get nothing: they are no endpoints, but count
 /// where the versions of a service are counted, as for all nodes and before the evacuation.
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
                                 const DataCentreName &local, std::int64_t steadyOffset = 0,
+                                WorkspaceTablePtr workspaces = nullptr,
                                 const std::set<DataCentreName> &evacuated = {});
 
 /// @returns whether a version may receive the service's traffic: the current version, or the target
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -44,7 +44,7 @@
       initialProgress({ServiceName("s"), VersionLabel("v2"), 60 * MsPerSecond, 7});
   progress.Stage = 1;
   return buildRoutingView(*snapshotOf(1, {service("s", ""), route("r", "/", "s")}), hosts,
-                          {{progress.ID, progress}}, East, 0, evacuated);
+                          {{progress.ID, progress}}, East, 0, nullptr, evacuated);
 }
 
 /// @returns how many of 1000 requests go to each version; refused ones count as "".
@@ -135,9 +135,9 @@
 BOOST_AUTO_TEST_CASE(service_with_upstreams_only_in_evacuated_data_centres_has_none) {
   const std::vector<HostRecord> hosts = {upstreamAt("c", West, "v1")};
   const SnapshotPtr snapshot = snapshotOf(1, {service("s", ""), route("r", "/", "s")});
-  const RoutingViewPtr there = buildRoutingView(*snapshot, hosts, {}, East, 0, {West});
+  const RoutingViewPtr there = buildRoutingView(*snapshot, hosts, {}, East, 0, nullptr, {West});
   BOOST_TEST(there->serviceNamed(ServiceName("s"))->evacuated());
-  const RoutingViewPtr back = buildRoutingView(*snapshot, hosts, {}, East, 0, {});
+  const RoutingViewPtr back = buildRoutingView(*snapshot, hosts, {}, East, 0, nullptr, {});
   BOOST_TEST(!back->serviceNamed(ServiceName("s"))->evacuated());
   BOOST_TEST(countVersions(*back->serviceNamed(ServiceName("s")), true)["v1"] == 1000);
 }
