Name evacuated data centres in explanations

Cause: a host in an evacuated data centre has no chance, and explain gave no reason for it.

Change: its exclusions name the evacuation; a test.

--- a/src/balance/explanation.cpp
+++ b/src/balance/explanation.cpp
@@ -27,12 +27,14 @@
 }
 
 /// @returns why a host of the service gets no new requests.
-std::vector<std::string> exclusionsOf(const HostRecord &record, const ServiceView &service,
-                                      const Endpoint *endpoint, const EndpointStats &stats,
-                                      TimeMs now) {
+std::vector<std::string> exclusionsOf(const HostRecord &record, const RoutingView &view,
+                                      const ServiceView &service, const Endpoint *endpoint,
+                                      const EndpointStats &stats, TimeMs now) {
   std::vector<std::string> reasons;
   if (const std::string state = stateText(record.State); !state.empty())
     reasons.push_back(state);
+  if (view.Evacuated.contains(record.DataCentre))
+    reasons.emplace_back("its data centre is evacuated");
   if (!mayServe(service, record.Version))
     reasons.push_back(service.RolledBack.contains(record.Version)
                           ? absl::StrCat("version ", record.Version.str(), " was rolled back")
@@ -95,7 +97,7 @@
         count == counts.end()
             ? 0
             : static_cast<std::uint32_t>(count->second * FullShare / ExplainDraws);
-    host.Excluded = exclusionsOf(record, service, found, stats, now);
+    host.Excluded = exclusionsOf(record, view, service, found, stats, now);
     explained.Hosts.push_back(std::move(host));
   }
   std::stable_sort(explained.Hosts.begin(), explained.Hosts.end(),
--- a/tests/explanation_test.cpp
+++ b/tests/explanation_test.cpp
@@ -105,3 +105,13 @@
   BOOST_TEST((first == explain(view, stats, "/look/1")));
   BOOST_TEST(stats.inFlight(HostID("near")) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(names_hosts_of_an_evacuated_data_centre) {
+  const RoutingViewPtr view = buildRoutingView(
+      configuration(),
+      {recordOf("near", HostState::Ready, "v1"), recordOf("far", HostState::Ready, "v1")}, {},
+      DataCentreName("dc1"), 0, nullptr, {DataCentreName("dc2")});
+  const Explanation explanation = explain(view, EndpointStats(), "/look/1");
+  BOOST_TEST(hostNamed(explanation, "near").ChancePerMille == 1000U);
+  BOOST_TEST(hostNamed(explanation, "far").Excluded.at(0) == "its data centre is evacuated");
+}
