--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -269,7 +269,7 @@
     recordEvent("config", "refused", Node.config().lastError());
   if (changes.ProgressChanged)
     recordOrderProgress(steadyClockMs());
-  if (changes.ConfigApplied || changes.ProgressChanged)
+  if (changes.ConfigApplied || changes.ProgressChanged || changes.EvacuationsChanged)
     schedulePublish(PublishDelay);
   else if (changes.TableChanged)
     schedulePublish(TablePublishDelay);
@@ -309,10 +309,12 @@
   if (!Workspaces || PublishedVersion != held->Version)
     Workspaces = workspaceTableOf(*held);
   PublishedVersion = held->Version;
-  Traffic.put(PublishView{buildRoutingView(
+  const RoutingViewPtr view = buildRoutingView(
       *held, hosts, Node.progress(), Settings.Identity.DataCentre,
       static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()),
-      Workspaces)});
+      Workspaces, Node.evacuated());
+  recordEvacuations(*view);
+  Traffic.put(PublishView{view});
 }
 
 kj::Promise<void> ControlTask::waitForUpdates(const HostID &peer, DurationMs hold) {
