Serve keys only while the configuration is proved to be the newest

A key that was taken away was served for as long as a node did not hear of it: a watch of the store that hangs, a link or a machine that is cut leaves a node with an old configuration and no sign of that.

ConfigProof keeps the latest times at which versions are known to have been the newest. The store proves it, by a list of no keys that states its revision, and by the configuration's key if that has changed; the answer counts from the moment the call was sent. Watches prove nothing: while a store compacts its history they may hear nothing. Peers state the age of their proof; the receiver dates it by its own clock as the peer echoes it, so that neither a held message nor two clocks can date it too late. A proof covers the version that it names and newer ones; after the store came back from an older copy it counts once the store shows what was known. A node that has started again has none.

The ingress refuses requests with keys by 503 without a proof younger than revocation-time less a fiftieth; it checks at a time read after the request was. With a proof younger than the in-force time, an unknown key gets 401.

One node of the mesh asks the store, a fifth of the revocation time after the last proof; nodes of later rank ask only if no proof has come by then. Proofs go down the links at once and otherwise with the exchanges that are made anyway. All of it is off where no configuration has workspaces and no revocation-time is set.

Ruled out: dating by the watch's start, which a silent watch would satisfy; a time of expiry by wall clocks; a read by each node, 16,000 calls every second.

--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -44,7 +44,8 @@
       Node(Settings.Identity, steadyClockMs(), Settings.Times.ChildTimeout, Settings.Tree,
            Settings.Times.LinkRetryDelay),
       Store(traffic, Settings.Env.Store), Peers(Io, Settings.Secret, Settings.Identity.Host, Bytes),
-      Random(Settings.RandomSeed), Watches(Settings.Times.WatchPeriod), StartTime(steadyClockMs()),
+      Random(Settings.RandomSeed), Watches(Settings.Times.WatchPeriod),
+      Proof(ProofTimes::forBound(proofBound(Settings)).Step), StartTime(steadyClockMs()),
       Errors(kj::heap<ErrorHandler>()), Tasks(kj::heap<kj::TaskSet>(*Errors)) {
   KJ_SYSCALL(pipe(WakePipe));
   WakeStream =
@@ -79,6 +80,7 @@
   spawnLoop([this] { return acceptLoop(); }, "listener");
   spawnLoop([this] { return tickLoop(); }, "ticks");
   spawnLoop([this] { return controllerLoop(); }, "steward");
+  spawnLoop([this] { return proofLoop(); }, "proof");
   spawn(confirmFloor(), "floor");
   if (Settings.Seeds.empty())
     spawn(registerIfAlone(), "registration");
@@ -298,10 +300,11 @@
       *held, hosts, Node.progress(), Settings.Identity.DataCentre,
       static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()),
       Workspaces)});
+  publishProof();
 }
 
 kj::Promise<void> ControlTask::waitForUpdates(const HostID &peer, DurationMs hold) {
-  if (hold == 0 || Node.hasUpdatesFor(peer, false))
+  if (hold == 0 || hasUpdatesFor(peer, false))
     return kj::READY_NOW;
   auto pair = kj::newPromiseAndFulfiller<void>();
   HeldExchanges.push_back({peer, kj::mv(pair.fulfiller)});
@@ -313,11 +316,11 @@
   for (HeldExchange &held : HeldExchanges) {
     if (!held.Fulfiller->isWaiting())
       continue;
-    if (!Node.hasUpdatesFor(held.Peer, false)) {
+    if (!hasUpdatesFor(held.Peer, false)) {
       stillHeld.push_back(kj::mv(held));
       continue;
     }
-    const DurationMs delay = Node.hasOnlyRecordsFor(held.Peer, false) ? RecordBatchDelay : 0;
+    const DurationMs delay = updateDelay(held.Peer, false);
     if (delay == 0) {
       held.Fulfiller->fulfill();
       continue;
@@ -364,6 +367,7 @@
   }
   spawn(storeLoop(), "store");
   checkDocumentAge(now);
+  checkProof(bootClockMs());
   ControlFigures figures;
   figures.HeldVersion = Node.config().heldVersion();
   figures.KnownVersion = Node.config().knownVersion();
@@ -373,6 +377,7 @@
   figures.Children = Node.childCount();
   figures.Root = Position.Root;
   figures.StoreReachable = Store.reachable();
+  figures.ProofAge = PublishedProof == 0 ? 0 : bootClockMs() - PublishedProof;
   figures.DocumentAge = documentAge(now);
   figures.Transfers = Transfers;
   figures.LinkFailures = LinkFailureCount;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -11,6 +11,8 @@
 #include "stall_watch.h"
 #include "store/store_client.h"
 #include "timeline.h"
+#include "workspace/access_rule.h"
+#include "workspace/config_proof.h"
 
 #include <kj/async-io.h>
 
@@ -30,10 +32,16 @@
   std::string Secret;
   std::uint64_t RandomSeed = 0;
   MeshTimings Times;
+  /// A key is refused this long after it was taken away, in touch or not; 0: off.
+  DurationMs RevocationTime = 0;
+  DurationMs InForceTime = 0; ///< Maximum time until a configuration change is in force everywhere.
   Environment Env;
   TreeShape Tree;
 };
 
+/// @returns the time for which a proof that the configuration is the newest is of use.
+DurationMs proofBound(const ControlSettings &settings);
+
 class LinkTask;
 
 /// Backoff after a departure could not be written to the store: initial; doubles with each failure.
@@ -56,6 +64,15 @@
   // --- Used by links and RPC interfaces, which run on this thread ---
 
   MeshNode &node() { return Node; }
+  /// Builds the next message for a peer, with a proof of the configuration where one is needed.
+  /// @param joining whether this node reports to the peer as its child.
+  ExchangeMessage buildMessage(const HostID &peer, bool joining);
+  /// Merges a message from a peer and passes on what it changes.
+  void receiveMessage(const ExchangeMessage &message);
+  /// @returns whether a message to the peer would contain updates.
+  bool hasUpdatesFor(const HostID &peer, bool joining) const;
+  /// @returns the time for which pending updates may wait for others, ms.
+  DurationMs updateDelay(const HostID &peer, bool joining) const;
   PeerCache &peers() { return Peers; }
   StoreClient &store() { return Store; }
   Timeline &timeline() { return Events; }
@@ -220,6 +237,26 @@
   /// @returns whether this host is one of the StoreRoots of its data centre.
   bool usesStore(TimeMs now) const;
   WatchShare watchShare(TimeMs now) const;
+  /// @returns whether requests depend on proofs that the configuration is the newest.
+  bool needsProof() const;
+  /// @returns the number of nodes, up to a limit, that ask the store before this one does.
+  std::size_t proofRank(TimeMs now) const;
+  /// Waits until a proof is due, or asks the store for it.
+  kj::Promise<void> proofLoop();
+  /// Asks the store whether it has changed, and for the configuration only if it has.
+  kj::Promise<void> proveConfig();
+  /// Reads the key that holds the newest configuration, or its version.
+  kj::Promise<void> proveByRead(const std::string &key);
+  /// @returns the version of the configuration that an entry states; 0: it is not valid.
+  ConfigVersion versionOf(const StoreEntry &entry) const;
+  /// @param sentAt when the call was sent, on the boot clock.
+  void recordProof(TimeMs sentAt, ConfigVersion newest, std::uint64_t era);
+  /// Tells the traffic task of the latest proof for the routing view that it has.
+  void publishProof();
+  /// Records when keys can no longer be served for lack of a proof, and when they can again.
+  void checkProof(TimeMs bootNow);
+  /// @returns whether a proof is to be sent to a peer at once.
+  bool hasProofFor(const HostID &peer) const;
   /// Logs when the node has not heard from the store about the document for longer than a watch
   /// may take, and when it hears from it again.
   void checkDocumentAge(TimeMs now);
@@ -291,6 +328,14 @@
   std::optional<std::size_t> RegisteredRoots;
   DocumentReadState DocumentRead;
   WatchSchedule Watches;
+  ConfigProof Proof;
+  std::int64_t ProvedRevision =
+      0;                       ///< Store revision at which ProvedVersion was the newest; 0: none.
+  std::uint64_t ProvedEra = 0; ///< Era of the store then.
+  std::int64_t ProvedEntryRevision = 0; ///< Revision of the configuration's entry then.
+  ConfigVersion ProvedVersion = 0;
+  TimeMs PublishedProof = 0; ///< Last time sent to the traffic task.
+  bool Proved = true;        ///< Keys could be served at the last check.
   std::map<RolloutID, OrderState> Orders;
   TimeMs SuspendedTotal = 0; ///< Boot clock minus steady clock at the last tick.
   TimeMs NextSeeds = 0;
--- a/src/environment.h
+++ b/src/environment.h
@@ -94,6 +94,7 @@
 /// read.
 struct DocumentFormat {
   std::string Prefix; ///< Prefix of the keys that operators write; nodes only read them.
+  std::string ConfigKey; ///< Key of the newest configuration.
   /// @returns the decoded entry; monostate if it was removed or its key is not used.
   absl::StatusOr<DocumentEntry> (*Decode)(const StoreEntry &entry) = nullptr;
   /// @returns the key under which the progress of a service's rollout is published.
--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -123,6 +123,8 @@
   traffic.HeartbeatInterval = reloadable.HeartbeatInterval;
   traffic.StopTime = reloadable.StopTime;
   traffic.RetrySlack = reloadable.RetrySlack;
+  traffic.RevocationTime = milliseconds(values, "revocation-time");
+  traffic.InForceTime = milliseconds(values, "in-force-time");
   traffic.StoreAddress = values.text("store");
   traffic.Secret = values.text("secret");
   traffic.MaxBody = static_cast<std::size_t>(values.number("max-body"));
@@ -147,6 +149,8 @@
   control.Seeds = values.list("seeds");
   control.Times = MeshTimings::forPropagationBound(milliseconds(values, "in-force-time"));
   control.Tree.Roots = static_cast<std::size_t>(values.number("roots"));
+  control.RevocationTime = milliseconds(values, "revocation-time");
+  control.InForceTime = milliseconds(values, "in-force-time");
   control.Secret = values.text("secret");
   control.RandomSeed = seedFrom(values.text("host"), incarnation) + 1;
   return control;
--- a/src/mesh/link_task.cpp
+++ b/src/mesh/link_task.cpp
@@ -36,16 +36,14 @@
 
 kj::Promise<void> LinkTask::exchange(DurationMs hold) {
   auto request = Connection->Peer.exchangeRequest();
-  writeExchange(request.initMessage(), Control.node().buildMessage(Peer, Joining));
+  writeExchange(request.initMessage(), Control.buildMessage(Peer, Joining));
   request.setHoldMs(static_cast<std::uint32_t>(hold));
   kj::Promise<capnp::Response<wire::Peer::ExchangeResults>> sent = request.send();
   return failOnSilence(Control.timer(), Connection,
                        hold + Control.settings().Times.LinkResponseTimeout, steadyClockMs(),
                        kj::mv(sent))
       .then([this](capnp::Response<wire::Peer::ExchangeResults> response) {
-        const StateChanges changes =
-            Control.node().receiveMessage(readExchange(response.getMessage()), steadyClockMs());
-        Control.propagateChanges(changes);
+        Control.receiveMessage(readExchange(response.getMessage()));
       });
 }
 
@@ -53,17 +51,16 @@
   if (!Connection || !Joining)
     return kj::READY_NOW;
   auto request = Connection->Peer.exchangeRequest();
-  writeExchange(request.initMessage(), Control.node().buildMessage(Peer, false));
+  writeExchange(request.initMessage(), Control.buildMessage(Peer, false));
   return request.send().ignoreResult().attach(kj::cp(Connection));
 }
 
 kj::Promise<void> LinkTask::sendUpdates() {
-  const DurationMs delay = Control.node().hasOnlyRecordsFor(Peer, Joining) ? RecordBatchDelay : 0;
   return Control.timer()
-      .afterDelay(delay * kj::MILLISECONDS)
+      .afterDelay(Control.updateDelay(Peer, Joining) * kj::MILLISECONDS)
       .then([this] { return exchange(0); })
       .then([this]() -> kj::Promise<void> {
-        if (Control.node().hasUpdatesFor(Peer, Joining))
+        if (Control.hasUpdatesFor(Peer, Joining))
           return sendUpdates();
         SendActive = false;
         return kj::READY_NOW;
@@ -71,7 +68,7 @@
 }
 
 void LinkTask::sendPending() {
-  if (!Connection || SendActive || !Control.node().hasUpdatesFor(Peer, Joining))
+  if (!Connection || SendActive || !Control.hasUpdatesFor(Peer, Joining))
     return;
   SendActive = true;
   SendPromise = sendUpdates().eagerlyEvaluate([this](kj::Exception &&exception) {
--- a/src/mesh/peer_service.cpp
+++ b/src/mesh/peer_service.cpp
@@ -28,15 +28,13 @@
 kj::Promise<void> PeerService::exchange(ExchangeContext context) {
   const ExchangeMessage message = readExchange(context.getParams().getMessage());
   const DurationMs hold = context.getParams().getHoldMs();
-  const TimeMs now = steadyClockMs();
   if (message.Joining && !Control.node().acceptsChild(message.Host))
     KJ_FAIL_REQUIRE("busy: this node has as many children as it takes");
-  const StateChanges changes = Control.node().receiveMessage(message, now);
-  Control.propagateChanges(changes);
+  Control.receiveMessage(message);
   const HostID peer = message.Host;
   context.releaseParams();
   return Control.waitForUpdates(peer, hold).then([this, peer, context]() mutable {
-    writeExchange(context.getResults().initMessage(), Control.node().buildMessage(peer, false));
+    writeExchange(context.getResults().initMessage(), Control.buildMessage(peer, false));
   });
 }
 
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -20,6 +20,10 @@
 struct PublishView {
   RoutingViewPtr View;
 };
+/// The configuration of the last PublishView is known to have been the newest.
+struct ConfigProved {
+  TimeMs At = 0; ///< Latest such time, on the boot clock; 0: none is known.
+};
 /// Sends a request to the store; the result is a StoreReply with the same number.
 struct StoreCall {
   std::uint64_t Number = 0;
@@ -56,6 +60,7 @@
   std::uint32_t Children = 0;
   bool Root = false;
   bool StoreReachable = false;
+  DurationMs ProofAge = 0;    ///< Since the configuration was last proved to be the newest; 0: none.
   DurationMs DocumentAge = 0; ///< Of this node's own knowledge of the store's document; 0: none.
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
@@ -84,7 +89,7 @@
 
 using TrafficCommand =
     std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain, ControlFigures, StopTask,
-                 ApplySettings, DepartureRecorded, DeparturesRestored>;
+                 ApplySettings, DepartureRecorded, DeparturesRestored, ConfigProved>;
 
 // --- To the control task ---
 
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -88,6 +88,7 @@
   addGauge(out, "children", Control.Children);
   addGauge(out, "root", Control.Root ? 1 : 0);
   addGauge(out, "store_reachable", Control.StoreReachable ? 1 : 0);
+  addGauge(out, "config_proof_age_ms", Control.ProofAge);
   addGauge(out, "store_document_age_ms", Control.DocumentAge);
   addGauge(out, "config_deltas_sent", Control.Transfers.Deltas);
   addGauge(out, "config_snapshots_sent", Control.Transfers.Snapshots);
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -136,6 +136,8 @@
   Ingress->setView(message.View, steadyClockMs());
 }
 
+void TrafficTask::handle(ConfigProved &message) { Ingress->setConfigProof(message.At); }
+
 void TrafficTask::handle(StoreCall &message) {
   HttpCall call;
   call.Path = message.Call.Path;
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -65,6 +65,7 @@
   void handle(ApplySettings &message);
   void handle(DepartureRecorded &message);
   void handle(DeparturesRestored &message);
+  void handle(ConfigProved &message);
   void handleManagement(evhttp_request *request);
   ManagementResponse handleManagement(const ReadinessQuery &query);
   ManagementResponse handleManagement(const HealthQuery &query);
