--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/gate_base.h"
+#include "balance/explanation.h"
 #include "mailbox.h"
 #include "rollout/rollout_type.h"
 #include "routing/routing_view.h"
@@ -60,7 +61,7 @@
   std::uint32_t Children = 0;
   bool Root = false;
   bool StoreReachable = false;
-  DurationMs ProofAge = 0;    ///< Since the configuration was last proved to be the newest; 0: none.
+  DurationMs ProofAge = 0; ///< Since the configuration was last proved to be the newest; 0: none.
   DurationMs DocumentAge = 0; ///< Of this node's own knowledge of the store's document; 0: none.
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
@@ -87,9 +88,15 @@
   bool FromStore = false; ///< False: those that other nodes know.
 };
 
-using TrafficCommand =
-    std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain, ControlFigures, StopTask,
-                 ApplySettings, DepartureRecorded, DeparturesRestored, ConfigProved>;
+/// Asks where a request would go; the result is an ExplainReply with the same number.
+struct ExplainRequest {
+  std::uint64_t Number = 0;
+  ExplainQuery Query;
+};
+
+using TrafficCommand = std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain,
+                                    ControlFigures, StopTask, ApplySettings, DepartureRecorded,
+                                    DeparturesRestored, ConfigProved, ExplainRequest>;
 
 // --- To the control task ---
 
@@ -140,9 +147,14 @@
   std::string Text;
 };
 
-using ControlEvent =
-    std::variant<UpstreamAnnounced, EvidenceUpdate, StoreReply, StoreWatchEvent, DrainRequested,
-                 GateClosing, Drained, TrafficTimelineEvent, UpstreamDeparted, DeparturesNeeded>;
+struct ExplainReply {
+  std::uint64_t Number = 0;
+  Explanation Result;
+};
+
+using ControlEvent = std::variant<UpstreamAnnounced, EvidenceUpdate, StoreReply, StoreWatchEvent,
+                                  DrainRequested, GateClosing, Drained, TrafficTimelineEvent,
+                                  UpstreamDeparted, DeparturesNeeded, ExplainReply>;
 
 using TrafficMailbox = Mailbox<TrafficCommand>;
 using ControlMailbox = Mailbox<ControlEvent>;
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -29,6 +29,8 @@
   /// @returns false if the port can't be bound.
   bool listen();
   void setView(RoutingViewPtr view, TimeMs now);
+  /// Explains where a request of a local caller would go. Nothing is sent.
+  Explanation explain(const ExplainQuery &query, TimeMs now) const;
   /// @param at latest time, on the boot clock, at which the configuration in force was the newest.
   void setConfigProof(TimeMs at) { ConfigProvedAt = at; }
   /// Applies a changed RetrySlack or number of hosts to all retry budgets.
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -66,6 +66,7 @@
   void handle(DepartureRecorded &message);
   void handle(DeparturesRestored &message);
   void handle(ConfigProved &message);
+  void handle(ExplainRequest &message);
   void handleManagement(evhttp_request *request);
   ManagementResponse handleManagement(const ReadinessQuery &query);
   ManagementResponse handleManagement(const HealthQuery &query);
