--- a/src/control/control_proof.cpp
+++ b/src/control/control_proof.cpp
@@ -53,31 +53,35 @@
   const TimeMs readAt = Proof.latest() == 0 ? bootNow : Proof.latest() + due;
   if (readAt > bootNow)
     return timer().afterDelay((readAt - bootNow) * kj::MILLISECONDS);
-  return proveConfig();
+  return proveConfig().then([this, times](bool proved) -> kj::Promise<void> {
+    ProofRetryDelay = proved ? 0 : std::clamp(2 * ProofRetryDelay, times.RankDelay, times.ReadAge);
+    if (proved)
+      return kj::READY_NOW;
+    return timer().afterDelay((ProofRetryDelay + randomBelow(ProofRetryDelay)) * kj::MILLISECONDS);
+  });
 }
 
-kj::Promise<void> ControlTask::proveConfig() {
+kj::Promise<bool> ControlTask::proveConfig() {
   if (!Settings.Env.Document.has_value())
     return proveByRead(HeadKey);
   const TimeMs sentAt = bootClockMs();
   return Store.send(StoreList{EmptyPrefix})
-      .then([this, sentAt](StoreResponse response) -> kj::Promise<void> {
+      .then([this, sentAt](StoreResponse response) -> kj::Promise<bool> {
         if (response.Result != StoreResult::Ok)
-          return kj::READY_NOW;
+          return false;
         const bool same =
             ProvedRevision != 0 && response.Revision == ProvedRevision && response.Era == ProvedEra;
         if (!same)
           return proveByRead(Settings.Env.Document->ConfigKey);
-        recordProof(sentAt, ProvedVersion, response.Era);
-        return kj::READY_NOW;
+        return recordProof(sentAt, ProvedVersion, response.Era);
       });
 }
 
-kj::Promise<void> ControlTask::proveByRead(const std::string &key) {
+kj::Promise<bool> ControlTask::proveByRead(const std::string &key) {
   const TimeMs sentAt = bootClockMs();
   return Store.send(StoreRead{key}).then([this, sentAt](StoreResponse response) {
     if (response.Result != StoreResult::Ok || response.Entries.empty())
-      return;
+      return false;
     const StoreEntry &entry = response.Entries.front();
     const bool same = entry.Revision == ProvedEntryRevision && response.Era == ProvedEra;
     const ConfigVersion version = same ? ProvedVersion : versionOf(entry);
@@ -88,7 +92,7 @@
     ProvedEra = response.Era;
     ProvedEntryRevision = entry.Revision;
     ProvedVersion = version;
-    recordProof(sentAt, version, response.Era);
+    return recordProof(sentAt, version, response.Era);
   });
 }
 
@@ -102,12 +106,13 @@
   return document != nullptr ? document->Version : 0;
 }
 
-void ControlTask::recordProof(TimeMs sentAt, ConfigVersion newest, std::uint64_t era) {
+bool ControlTask::recordProof(TimeMs sentAt, ConfigVersion newest, std::uint64_t era) {
   if (!Proof.recordAnswer(sentAt, newest, era, Node.config().knownVersion()))
-    return;
+    return false;
   publishProof();
   releaseHeldExchanges();
   sendPendingUpdates();
+  return true;
 }
 
 void ControlTask::publishProof() {
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -247,13 +247,14 @@
   /// Waits until a proof is due, or asks the store for it.
   kj::Promise<void> proofLoop();
   /// Asks the store whether it has changed, and for the configuration only if it has.
-  kj::Promise<void> proveConfig();
+  /// @returns whether that proves anything later than before.
+  kj::Promise<bool> proveConfig();
   /// Reads the key that holds the newest configuration, or its version.
-  kj::Promise<void> proveByRead(const std::string &key);
+  kj::Promise<bool> proveByRead(const std::string &key);
   /// @returns the version of the configuration that an entry states; 0: it is not valid.
   ConfigVersion versionOf(const StoreEntry &entry) const;
   /// @param sentAt when the call was sent, on the boot clock.
-  void recordProof(TimeMs sentAt, ConfigVersion newest, std::uint64_t era);
+  bool recordProof(TimeMs sentAt, ConfigVersion newest, std::uint64_t era);
   /// Tells the traffic task of the latest proof for the routing view that it has.
   void publishProof();
   /// Records when keys can no longer be served for lack of a proof, and when they can again.
@@ -337,8 +338,9 @@
   std::uint64_t ProvedEra = 0; ///< Era of the store then.
   std::int64_t ProvedEntryRevision = 0; ///< Revision of the configuration's entry then.
   ConfigVersion ProvedVersion = 0;
-  TimeMs PublishedProof = 0; ///< Last time sent to the traffic task.
-  bool Proved = true;        ///< Keys could be served at the last check.
+  DurationMs ProofRetryDelay = 0; ///< Backoff after a call that proved nothing.
+  TimeMs PublishedProof = 0;      ///< Last time sent to the traffic task.
+  bool Proved = true;             ///< Keys could be served at the last check.
   std::map<RolloutID, OrderState> Orders;
   TimeMs SuspendedTotal = 0; ///< Boot clock minus steady clock at the last tick.
   std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<Explanation>>> Explanations;
