Decide on large bodies by the header, and name the object that a configuration is refused for

Cause: a gate read a body of up to 360 kB before it said that it had no slot, and a request tried three gates so. One odd object was reported with every read of the document, without saying what stayed in force.

Change: the HTTP server asks a handler once a header with a body is complete, and can refuse before it reads on. A gate refuses by the header what it would refuse with the body; what passed may queue. The ingress sends large bodies where a recent report shows a free slot, its own host first, and lets them queue after one gate without one. It refuses by the header what it can't send on. The fingerprint is hashed in place. Refused entries of the document are reported once for each content, with what is in force, and counted.

--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -235,6 +235,39 @@
   return ranks;
 }
 
+Refusal Gate::waitRefusal(const GateRequest &request, double wait, TimeMs now) const {
+  if (!request.MayQueue)
+    return Refusal::Busy;
+  const bool late = missesDeadline(request, wait, now) || !acceptsLate(request, wait, now);
+  return late ? Refusal::Overloaded : Refusal::None;
+}
+
+bool Gate::isQueueFull() const {
+  return Queue.size() >= std::size_t{Upstream.Slots} * QueuePerSlot;
+}
+
+AdmissionResult Gate::checkHeader(const GateRequest &request, TimeMs now) const {
+  const Refusal refusal = refusalFor(request, now);
+  if (refusal != Refusal::None)
+    return {Admission::Refused, refusal, std::nullopt};
+  if (Queue.empty() && mayRun(request, now))
+    return {Admission::Run, Refusal::None, std::nullopt};
+  const double wait = expectedWait(request, now);
+  const auto retryAfter = static_cast<DurationMs>(wait + MeanServiceMs / Upstream.Slots);
+  Refusal reason = waitRefusal(request, wait, now);
+  if (reason == Refusal::None && isQueueFull()) {
+    const std::vector<QueueRank> waiting = ranks(now);
+    const QueueRank rank = rankOf(request, now);
+    const bool outranks = std::any_of(waiting.begin(), waiting.end(), [&rank](const QueueRank &it) {
+      return ranksBefore(rank, it);
+    });
+    reason = outranks ? Refusal::None : Refusal::Overloaded;
+  }
+  if (reason != Refusal::None)
+    return {Admission::Refused, reason, std::nullopt, retryAfter};
+  return {Admission::Run, Refusal::None, std::nullopt};
+}
+
 AdmissionResult Gate::admit(const GateRequest &request, TimeMs now) {
   const Refusal refusal = refusalFor(request, now);
   if (refusal != Refusal::None)
@@ -245,12 +278,10 @@
   }
   const double wait = expectedWait(request, now);
   const auto retryAfter = static_cast<DurationMs>(wait + MeanServiceMs / Upstream.Slots);
-  if (!request.MayQueue)
-    return {Admission::Refused, Refusal::Busy, std::nullopt, retryAfter};
-  if (missesDeadline(request, wait, now) || !acceptsLate(request, wait, now))
-    return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
+  if (const Refusal reason = waitRefusal(request, wait, now); reason != Refusal::None)
+    return {Admission::Refused, reason, std::nullopt, retryAfter};
   AdmissionResult result{Admission::Queued, Refusal::None, std::nullopt, retryAfter};
-  if (Queue.size() >= std::size_t{Upstream.Slots} * QueuePerSlot) {
+  if (isQueueFull()) {
     // Evict the lowest rank; among equal ranks the latest arrival.
     const std::vector<QueueRank> waiting = ranks(now);
     const auto least = std::min_element(
--- a/src/admission/gate_base.h
+++ b/src/admission/gate_base.h
@@ -147,6 +147,10 @@
   bool adoptLimit(double perSecond, const std::string &process, TimeMs now);
   const RequestLimit &limit() const { return Limit; }
 
+  /// Decides by its header on a request whose body has not been read. Whatever admit() would refuse
+  /// now is refused; what passes may have to queue when its body is there.
+  /// @returns the refusal, with Result Refused; Run if the body may be read.
+  AdmissionResult checkHeader(const GateRequest &request, TimeMs now) const;
   /// Decides whether a request runs now, waits in the queue or is refused.
   AdmissionResult admit(const GateRequest &request, TimeMs now);
 
@@ -205,6 +209,9 @@
   QueueRank rankOf(const GateRequest &request, TimeMs now) const;
   bool acceptsLate(const GateRequest &request, double wait, TimeMs now) const;
   double slotWait(const QueueRank &rank, TimeMs now) const;
+  /// @returns why a request that can't run now may not wait either; None if it may.
+  Refusal waitRefusal(const GateRequest &request, double wait, TimeMs now) const;
+  bool isQueueFull() const;
   /// @returns the rank of each queued request, in the order of the queue.
   std::vector<QueueRank> ranks(TimeMs now) const;
   DequeueResult dequeue(TimeMs now);
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -312,6 +312,13 @@
   return occupancy(endpoint.Host, now) < endpoint.Slots && limitWaitMs(endpoint, now) == 0;
 }
 
+bool EndpointStats::hasKnownSlot(const Endpoint &endpoint, TimeMs now) const {
+  const auto it = Entries.find(endpoint.Host.str());
+  const bool recent = it != Entries.end() && it->second.ReportedAt != 0 &&
+                      now < it->second.ReportedAt + LoadReportLifetime;
+  return recent && hasFreeSlot(endpoint, now) && !ejected(endpoint.Host, now) && !leaves(endpoint);
+}
+
 double EndpointStats::limitOf(const Endpoint &endpoint) const {
   const auto it = Entries.find(endpoint.Host.str());
   if (it == Entries.end() || it->second.Report.LimitProcess != endpoint.InstanceID)
@@ -401,6 +408,12 @@
   return *it;
 }
 
+void EndpointSearch::stopSearch() {
+  MayQueue = true;
+  for (const HostID &host : Busy)
+    Tried.erase(host);
+}
+
 const Endpoint *nextEndpoint(EndpointSearch &search, const ServiceView &service,
                              const PlacementRequest &request, const EndpointStats &stats,
                              std::mt19937_64 &random, TimeMs now) {
@@ -415,12 +428,8 @@
     if (endpoint != nullptr && stats.hasFreeSlot(*endpoint, now))
       return endpoint;
   }
-  if (!search.MayQueue) {
-    // Hosts without a free slot may now queue the request.
-    search.MayQueue = true;
-    for (const HostID &host : search.Busy)
-      search.Tried.erase(host);
-  }
+  if (!search.MayQueue)
+    search.stopSearch();
   return choose();
 }
 
--- a/src/balance/placement.h
+++ b/src/balance/placement.h
@@ -54,6 +54,9 @@
 
   /// @returns whether the upstream is expected to have a free slot.
   bool hasFreeSlot(const Endpoint &endpoint, TimeMs now) const;
+  /// @returns whether a recent report of its gate, and what this node has sent since, show a free
+  /// slot at an upstream that is neither ejected nor leaving.
+  bool hasKnownSlot(const Endpoint &endpoint, TimeMs now) const;
   /// @returns the expected wait for the limit of the endpoint's upstream, ms.
   double limitWaitMs(const Endpoint &endpoint, TimeMs now) const;
   /// @returns the limit that the endpoint's upstream named last, to be passed on to its gate; 0:
@@ -127,6 +130,8 @@
   std::set<HostID> Tried; ///< Hosts that have refused the request.
   std::set<HostID> Busy;  ///< Those of Tried that had no free slot.
   bool MayQueue = false;  ///< The request queues at the next host if no slot is free.
+  /// Lets the request queue, also at the hosts that had no free slot.
+  void stopSearch();
   bool operator==(const EndpointSearch &) const = default;
 };
 
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -131,21 +131,33 @@
   for (const StoreEntry &entry : entries) {
     absl::StatusOr<DocumentEntry> decoded = Settings.Env.Document->Decode(entry);
     if (!decoded.ok()) {
-      recordEvent("config", entry.Key, absl::StrCat("refused: ", decoded.status().message()));
+      refuseEntry(entry, std::string(decoded.status().message()));
       continue;
     }
-    std::visit(Overloaded{[](const std::monostate &) {},
-                          [this](const ConfigDocument &document) { applyDocument(document); },
-                          [this](const RolloutOrder &order) { receiveOrder(order); },
+    std::visit(Overloaded{[&](const std::monostate &) { Refused.clear(entry.Key); },
+                          [&](const ConfigDocument &document) { applyDocument(document, entry); },
+                          [&](const RolloutOrder &order) {
+                            Refused.clear(entry.Key);
+                            receiveOrder(order);
+                          },
                           [](const EvacuationEntry &) {}},
                *decoded);
   }
 }
 
-void ControlTask::applyDocument(const ConfigDocument &document) {
+void ControlTask::refuseEntry(const StoreEntry &entry, const std::string &reason) {
+  if (Refused.record(entry.Key, entry.Value))
+    recordEvent(
+        "config", entry.Key,
+        absl::StrCat("refused: ", reason, "; ", describeInForce(Node.config().heldVersion())));
+}
+
+void ControlTask::applyDocument(const ConfigDocument &document, const StoreEntry &entry) {
   const SnapshotPtr held = Node.config().held();
-  if (held && document.Version <= held->Version)
+  if (held && document.Version <= held->Version) {
+    Refused.clear(entry.Key);
     return;
+  }
   std::vector<ConfigObjectPtr> objects;
   objects.reserve(document.Objects.size());
   for (const ConfigObject &object : document.Objects)
@@ -154,7 +166,10 @@
   const OfferResult result = Node.applyConfig(diffSnapshots(held.get(), *next));
   StateChanges changes;
   changes.ConfigApplied = result == OfferResult::Applied;
-  changes.ConfigRejected = result == OfferResult::Refused;
+  if (result == OfferResult::Refused)
+    refuseEntry(entry, Node.config().lastError());
+  else
+    Refused.clear(entry.Key);
   propagateChanges(changes);
 }
 
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -369,6 +369,7 @@
   figures.Root = Position.Root;
   figures.StoreReachable = Store.reachable();
   figures.DocumentAge = documentAge(now);
+  figures.RefusedDocuments = Refused.total();
   figures.Transfers = Transfers;
   figures.LinkFailures = LinkFailureCount;
   figures.EvidenceReports = EvidenceReports;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/change_cmd.h"
+#include "config/refused_entries.h"
 #include "control/watch_schedule.h"
 #include "environment.h"
 #include "mesh/mesh_node.h"
@@ -208,7 +209,11 @@
   kj::Promise<bool> listDocument(const std::string &after);
   kj::Promise<bool> watchDocument();
   void applyEntries(const std::vector<StoreEntry> &entries);
-  void applyDocument(const ConfigDocument &document);
+  /// @param entry entry of the store that holds the document.
+  void applyDocument(const ConfigDocument &document, const StoreEntry &entry);
+  /// Reports an entry that is refused, once for each content.
+  /// @param reason names the object and what is wrong with it.
+  void refuseEntry(const StoreEntry &entry, const std::string &reason);
   void receiveOrder(const RolloutOrder &order);
   /// @returns whether a peer has been heard of, over a link that this node opened.
   bool isLinkAlive(const HostID &peer, TimeMs now) const;
@@ -288,6 +293,7 @@
   /// Those in this data centre by the last list; empty before the first one.
   std::optional<std::size_t> RegisteredRoots;
   DocumentReadState DocumentRead;
+  RefusedEntries Refused;
   WatchSchedule Watches;
   std::map<RolloutID, OrderState> Orders;
   TimeMs SuspendedTotal = 0; ///< Boot clock minus steady clock at the last tick.
--- a/src/event_util.cpp
+++ b/src/event_util.cpp
@@ -59,6 +59,14 @@
   return buf;
 }
 
+void forEachPart(evbuffer *buf, const std::function<void(const void *, std::size_t)> &visit) {
+  std::vector<evbuffer_iovec> parts(
+      static_cast<std::size_t>(evbuffer_peek(buf, -1, nullptr, nullptr, 0)));
+  evbuffer_peek(buf, -1, nullptr, parts.data(), static_cast<int>(parts.size()));
+  for (const evbuffer_iovec &part : parts)
+    visit(part.iov_base, part.iov_len);
+}
+
 std::string textOf(evbuffer *buf) {
   std::string text(evbuffer_get_length(buf), '\0');
   evbuffer_copyout(buf, text.data(), text.size());
--- a/src/event_util.h
+++ b/src/event_util.h
@@ -54,6 +54,8 @@
 EvBufferPtr makeBuffer(std::string_view text);
 /// Makes a buffer of a text without copying it, unless it is short.
 EvBufferPtr adoptBuffer(std::string text);
+/// Calls a function with each contiguous part of a buffer's content, in order, without copying it.
+void forEachPart(evbuffer *buf, const std::function<void(const void *, std::size_t)> &visit);
 /// Copies a buffer's content without draining it.
 std::string textOf(evbuffer *buf);
 
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -95,6 +95,18 @@
   return std::nullopt;
 }
 
+RequestHeader HttpRequestReader::reportHeader() const {
+  RequestHeader header;
+  header.Path = Current->Beast.get().target().to_string();
+  header.Fields = &Current->Fields;
+  const std::string *expectation = findHeader(Current->Fields, "expect");
+  header.ExpectsContinue =
+      expectation != nullptr && absl::EqualsIgnoreCase(*expectation, "100-continue");
+  if (const auto length = Current->Beast.content_length(); length)
+    header.DeclaredBody = static_cast<std::size_t>(*length);
+  return header;
+}
+
 ParsedRequest HttpRequestReader::finish() {
   auto &message = Current->Beast.get();
   ParsedRequest parsed;
@@ -116,7 +128,6 @@
     Current->Beast.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
     Current->Beast.body_limit(Limits.MaxBody);
   }
-  bool expectsContinue = false;
   while (evbuffer_get_length(in) != 0) {
     boost::system::error_code ec;
     const std::size_t used = feedParser(Current->Beast, in, !Current->HeaderProcessed, ec);
@@ -127,16 +138,15 @@
     if (Current->Beast.is_header_done() && !Current->HeaderProcessed) {
       if (const std::optional<RequestRejected> rejected = processHeader(); rejected.has_value())
         return *rejected;
-      const std::string *expectation = findHeader(Current->Fields, "expect");
-      expectsContinue =
-          expectation != nullptr && absl::EqualsIgnoreCase(*expectation, "100-continue");
+      if (!Current->Beast.is_done())
+        return reportHeader();
     }
     if (Current->Beast.is_done())
       return finish();
     if (used == 0)
       break;
   }
-  return RequestIncomplete{expectsContinue};
+  return RequestIncomplete{};
 }
 
 } // namespace jasmineloom
--- a/src/http/http_request_reader.h
+++ b/src/http/http_request_reader.h
@@ -35,8 +35,14 @@
 };
 
 /// More bytes are needed to complete the request.
-struct RequestIncomplete {
-  bool ExpectsContinue = false; ///< The peer waits for a 100 Continue response.
+struct RequestIncomplete {};
+/// The header of a request with a body, before any byte of the body is read. Reported once for each
+/// such request; the next read() goes on with the body.
+struct RequestHeader {
+  std::string Path;                     ///< Including the query.
+  const HeaderFields *Fields = nullptr; ///< Valid until the next read().
+  std::size_t DeclaredBody = 0;         ///< Bytes; 0: sent in chunks.
+  bool ExpectsContinue = false;         ///< The peer waits for a 100 Continue response.
 };
 /// A complete request and the connection properties that it implies.
 struct ParsedRequest {
@@ -49,7 +55,8 @@
 struct RequestRejected {
   int Status = 0;
 };
-using RequestReadResult = std::variant<RequestIncomplete, ParsedRequest, RequestRejected>;
+using RequestReadResult =
+    std::variant<RequestIncomplete, RequestHeader, ParsedRequest, RequestRejected>;
 
 /// @returns whether a method is safe (RFC 9110 section 9.2.1), so that pipelined requests may run
 /// concurrently.
@@ -74,6 +81,7 @@
   struct Parser;
 
   std::optional<RequestRejected> processHeader();
+  RequestHeader reportHeader() const;
   ParsedRequest finish();
 
   HttpLimits Limits;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -278,21 +278,41 @@
 void HttpServer::readNext(Connection &connection) {
   bufferevent *socket = connection.Socket.get();
   RequestReadResult result = connection.Reader.read(bufferevent_get_input(socket));
+  if (const auto *header = std::get_if<RequestHeader>(&result)) {
+    handleHeader(connection, *header);
+    if (connection.ReadingDone)
+      return;
+    result = connection.Reader.read(bufferevent_get_input(socket));
+  }
   if (auto *parsed = std::get_if<ParsedRequest>(&result))
     connection.NextRequest = std::move(*parsed);
-  if (const auto *incomplete = std::get_if<RequestIncomplete>(&result)) {
-    constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-    if (incomplete->ExpectsContinue && connection.Pipeline.empty())
-      bufferevent_write(socket, ContinueResponse.data(), ContinueResponse.size());
-  }
-  if (const auto *rejected = std::get_if<RequestRejected>(&result)) {
-    PipelineEntry entry;
-    entry.KeepAlive = false;
-    entry.Ready = true;
-    entry.Response.Status = rejected->Status;
-    connection.Pipeline.push_back(std::move(entry));
-    connection.ReadingDone = true;
+  if (const auto *rejected = std::get_if<RequestRejected>(&result))
+    endReading(connection, {rejected->Status, {}, nullptr});
+}
+
+void HttpServer::handleHeader(Connection &connection, const RequestHeader &header) {
+  if (!connection.Pipeline.empty())
+    return;
+  if (OnHeader && !connection.OverLimit) {
+    if (std::optional<HttpResponse> refusal = OnHeader(header); refusal.has_value()) {
+      endReading(connection, *std::move(refusal));
+      return;
+    }
   }
+  constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+  bufferevent *socket = connection.Socket.get();
+  // A peer that has begun to send the body waits for nothing.
+  if (header.ExpectsContinue && evbuffer_get_length(bufferevent_get_input(socket)) == 0)
+    bufferevent_write(socket, ContinueResponse.data(), ContinueResponse.size());
+}
+
+void HttpServer::endReading(Connection &connection, HttpResponse response) {
+  PipelineEntry entry;
+  entry.KeepAlive = false;
+  entry.Ready = true;
+  entry.Response = std::move(response);
+  connection.Pipeline.push_back(std::move(entry));
+  connection.ReadingDone = true;
 }
 
 void HttpServer::dispatch(Connection &connection) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -28,6 +28,10 @@
   using RequestHandler = std::function<void(HttpRequest)>;
   /// Called when the connection of an unanswered request is closed.
   using DisconnectHandler = std::function<void(RequestID)>;
+  /// Decides on a request from its header, before its body is read.
+  /// @returns the response that refuses it, after which the connection is closed; nullopt: the body
+  /// is read and the request passed to the request handler.
+  using HeaderHandler = std::function<std::optional<HttpResponse>(const RequestHeader &)>;
 
   /// @param held account of the bytes that the connections hold; may be null. A connection that it
   /// cuts is closed.
@@ -39,6 +43,9 @@
 
   /// @returns false if the address is invalid or can't be bound.
   bool bind(const std::string &address, std::uint16_t port);
+  /// Sets the handler that may refuse requests before their bodies are read. It is asked only about
+  /// requests that no earlier one on their connection precedes unanswered.
+  void setHeaderHandler(HeaderHandler handler) { OnHeader = std::move(handler); }
   /// From now on closes each connection after its last pending response.
   void closeAfterResponses() { Closing = true; }
   /// Accepts the connections that the kernel has queued, stops listening and closes the idle
@@ -75,6 +82,8 @@
   bool canReadMore(const Connection &connection) const;
   void readRequests(Connection &connection);
   void readNext(Connection &connection);
+  void handleHeader(Connection &connection, const RequestHeader &header);
+  static void endReading(Connection &connection, HttpResponse response);
   void dispatch(Connection &connection);
   void flushResponses(Connection &connection);
   void writeResponse(Connection &connection, PipelineEntry &entry, bool close);
@@ -92,6 +101,7 @@
   HttpLimits Limits;
   RequestHandler OnRequest;
   DisconnectHandler OnDisconnect;
+  HeaderHandler OnHeader; ///< May be empty.
   HeldBytes *Held;
   RequestID LastID = 0;
   bool Closing = false; ///< Connections are closed after their last pending response.
--- a/src/routing/outcome_type.h
+++ b/src/routing/outcome_type.h
@@ -62,6 +62,8 @@
 constexpr const char *Key = "idempotency-key";
 constexpr const char *DeadlineMs = "x-jasmine-deadline-ms";
 constexpr const char *Host = "x-jasmine-host";
+/// The body is large: the gate decides by the header, and queues what it has let send its body.
+constexpr const char *LargeBody = "x-jasmine-large-body";
 constexpr const char *MayQueue = "x-jasmine-may-queue"; ///< The gate may queue the request.
 /// Running and queued requests, mean service time in ms, failures per mille; comma-separated.
 constexpr const char *Load = "x-jasmine-load";
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -56,6 +56,7 @@
   std::uint32_t Children = 0;
   bool Root = false;
   bool StoreReachable = false;
+  std::uint64_t RefusedDocuments = 0; ///< Versions of configurations and orders that were refused.
   DurationMs DocumentAge = 0; ///< Of this node's own knowledge of the store's document; 0: none.
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -21,18 +21,38 @@
 constexpr DurationMs QueueCheckPeriod = 20;
 
 std::uint64_t fingerprintOf(const HttpRequest &request) {
-  std::string text = request.MethodName + ' ' + request.Path + ' ';
-  text += textOf(request.Body.get());
-  return XXH3_64bits(text.data(), text.size());
+  const std::string head = request.MethodName + ' ' + request.Path + ' ';
+  const std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t *)> state(XXH3_createState(),
+                                                                               XXH3_freeState);
+  XXH3_64bits_reset(state.get());
+  XXH3_64bits_update(state.get(), head.data(), head.size());
+  forEachPart(request.Body.get(), [&state](const void *bytes, std::size_t n) {
+    XXH3_64bits_update(state.get(), bytes, n);
+  });
+  return XXH3_64bits_digest(state.get());
 }
 
-std::uint64_t numericHeaderOr(const HttpRequest &request, const char *name,
+std::uint64_t numericHeaderOr(const HeaderFields &fields, const char *name,
                               std::uint64_t fallback) {
-  const std::string *value = findHeader(request.Headers, name);
+  const std::string *value = findHeader(fields, name);
   std::uint64_t number = 0;
   return value != nullptr && absl::SimpleAtoi(*value, &number) ? number : fallback;
 }
 
+/// @returns the request as admission control sees it, without ticket and fingerprint.
+GateRequest gateRequestOf(const HeaderFields &fields, TimeMs now) {
+  GateRequest request;
+  request.Service = ServiceName(headerValue(fields, header::Service));
+  request.Version = VersionLabel(headerValue(fields, header::Version));
+  request.Worth = static_cast<std::uint32_t>(numericHeaderOr(fields, header::Worth, 1));
+  request.Deadline = now + numericHeaderOr(fields, header::DeadlineMs, 0);
+  request.MayQueue = findHeader(fields, header::MayQueue) != nullptr;
+  if (findHeader(fields, header::Objective) != nullptr)
+    request.ObjectiveAt = now + numericHeaderOr(fields, header::Objective, 0);
+  request.Route = RouteName(headerValue(fields, header::Route));
+  return request;
+}
+
 /// A limit that the sender of a request knows of.
 struct KnownLimit {
   double PerSecond = 0;
@@ -65,6 +85,7 @@
       CrashCheckTimer(base, [this] { checkForCrash(); }),
       ReplacementTimer(base, [this] { endReplacedCalls(false); }), Log("gate") {
   EvidenceTimer.start(EvidencePeriod);
+  Server.setHeaderHandler([this](const RequestHeader &head) { return checkHeader(head); });
 }
 
 GateTask::~GateTask() = default;
@@ -94,12 +115,29 @@
     refuse(*Contexts.at(ticket), Outcome::NotRun, Refusal::Draining);
 }
 
-bool GateTask::isTrusted(const HttpRequest &request) const {
-  return sameSecret(headerValue(request.Headers, header::Secret), Settings.Secret);
+bool GateTask::isTrusted(const HeaderFields &fields) const {
+  return sameSecret(headerValue(fields, header::Secret), Settings.Secret);
+}
+
+std::optional<HttpResponse> GateTask::checkHeader(const RequestHeader &head) {
+  const HeaderFields &fields = *head.Fields;
+  const bool mayRefuse = findHeader(fields, header::LargeBody) != nullptr && isTrusted(fields) &&
+                         !absl::StartsWith(head.Path, PeerCallPrefix);
+  if (!mayRefuse)
+    return std::nullopt;
+  const TimeMs now = steadyClockMs();
+  AdmissionResult result{Admission::Refused, Refusal::NoConfig, std::nullopt};
+  if (View)
+    result = AdmissionControl.checkHeader(gateRequestOf(fields, now), now);
+  if (result.Result != Admission::Refused)
+    return std::nullopt;
+  Stats.recordGateRefusal(result.Reason);
+  Stats.recordHeaderRefusal(head.DeclaredBody);
+  return makeRefusal(Outcome::NotRun, result.Reason, result.RetryAfter);
 }
 
 void GateTask::handleRequest(HttpRequest request) {
-  if (!isTrusted(request)) {
+  if (!isTrusted(request.Headers)) {
     Server.reply(request.ID, {403, {{header::Reason, "secret"}}, makeBuffer("refused\n")});
     return;
   }
@@ -113,20 +151,15 @@
   RequestContext &context = *owned;
   context.Request = std::move(request);
   context.ArrivedAt = now;
-  context.Route = RouteName(headerValue(context.Request.Headers, header::Route));
+  const HeaderFields &fields = context.Request.Headers;
+  context.Attributes = gateRequestOf(fields, now);
+  context.Route = context.Attributes.Route;
   if (findHeader(context.Request.Headers, header::Once) != nullptr)
     context.Key = headerValue(context.Request.Headers, header::Key);
   context.Attributes.Ticket = context.Request.ID;
-  context.Attributes.Service = ServiceName(headerValue(context.Request.Headers, header::Service));
-  context.Attributes.Version = VersionLabel(headerValue(context.Request.Headers, header::Version));
-  context.Attributes.Worth =
-      static_cast<std::uint32_t>(numericHeaderOr(context.Request, header::Worth, 1));
-  context.Attributes.Deadline = now + numericHeaderOr(context.Request, header::DeadlineMs, 0);
   context.Attributes.Fingerprint = fingerprintOf(context.Request);
-  if (findHeader(context.Request.Headers, header::Objective) != nullptr)
-    context.Attributes.ObjectiveAt = now + numericHeaderOr(context.Request, header::Objective, 0);
-  context.Attributes.Route = context.Route;
-  context.Attributes.MayQueue = findHeader(context.Request.Headers, header::MayQueue) != nullptr;
+  // The body has been sent: without a slot it waits rather than being sent again.
+  context.Attributes.MayQueue |= findHeader(fields, header::LargeBody) != nullptr;
   context.CallerRequestID = headerValue(context.Request.Headers, Settings.Http.RequestID);
   if (findHeader(context.Request.Headers, header::Suspect) != nullptr)
     AdmissionControl.crashes().markSuspect(context.Attributes.Fingerprint, now);
@@ -210,12 +243,7 @@
   }
 }
 
-void GateTask::refuse(RequestContext &context, Outcome outcome, Refusal reason,
-                      DurationMs retryAfter) {
-  const TimeMs now = steadyClockMs();
-  Stats.recordGateRefusal(reason);
-  if (!AdmissionControl.limit().mayStart(now))
-    Stats.recordLimitRefusal();
+HttpResponse GateTask::makeRefusal(Outcome outcome, Refusal reason, DurationMs retryAfter) const {
   const int status = outcome == Outcome::NotRun ? 503 : reason == Refusal::KeyInUse ? 409 : 502;
   const std::string outcomeName(nameOf(outcome));
   const std::string reasonName(nameOf(reason));
@@ -224,16 +252,26 @@
                         makeBuffer(absl::StrCat(outcomeName, ": ", reasonName, "\n"))};
   for (HeaderField &field : stateHeaders())
     response.Headers.push_back(std::move(field));
-  if (context.ReachedUpstream)
-    response.Headers.push_back({header::Reached, "1"});
   if (retryAfter != 0)
     response.Headers.push_back(
         {header::RetryAfter,
          absl::StrFormat("%.3f", static_cast<double>(retryAfter) / MsPerSecond)});
+  return response;
+}
+
+void GateTask::refuse(RequestContext &context, Outcome outcome, Refusal reason,
+                      DurationMs retryAfter) {
+  const TimeMs now = steadyClockMs();
+  Stats.recordGateRefusal(reason);
+  if (!AdmissionControl.limit().mayStart(now))
+    Stats.recordLimitRefusal();
+  HttpResponse response = makeRefusal(outcome, reason, retryAfter);
+  if (context.ReachedUpstream)
+    response.Headers.push_back({header::Reached, "1"});
   RequestLine line;
   line.Request = context.CallerRequestID;
   line.Decision = decisionOf(outcome);
-  line.Reason = reasonName;
+  line.Reason = nameOf(reason);
   line.Route = context.Route.str();
   line.Left = context.Attributes.Deadline > now ? context.Attributes.Deadline - now : 0;
   line.RetryAfter = retryAfter;
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -126,7 +126,11 @@
   void refuse(RequestContext &context, Outcome outcome, Refusal reason, DurationMs retryAfter = 0);
   void sendEvidence();
   void tick();
-  bool isTrusted(const HttpRequest &request) const;
+  bool isTrusted(const HeaderFields &fields) const;
+  /// Refuses a request with a large body that is certain not to be admitted, before its body is
+  /// read.
+  std::optional<HttpResponse> checkHeader(const RequestHeader &head);
+  HttpResponse makeRefusal(Outcome outcome, Refusal reason, DurationMs retryAfter) const;
   std::string gateAddress(const HostID &host) const;
   HttpCall makePeerCall(const std::string &path) const;
 
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -21,6 +21,8 @@
 constexpr int StatusConflict = 409;
 constexpr int StatusTooManyRequests = 429;
 constexpr int FirstServerError = 500;
+/// Length from which the body of a request to an unknown route is not read.
+constexpr std::size_t LargeBodyBytes = 64 * 1024;
 
 /// Connect timeout for gates; a hundred times the round-trip time between data centres, which is
 /// about 3 ms.
@@ -110,6 +112,14 @@
   return result.TimedOut && result.BytesSent ? Refusal::Deadline : Refusal::Transport;
 }
 
+HttpResponse makeRefusal(Outcome outcome, Refusal reason) {
+  const std::string outcomeName(nameOf(outcome));
+  const std::string reasonName(nameOf(reason));
+  return {statusFor(outcome, reason),
+          {{header::Outcome, outcomeName}, {header::Reason, reasonName}},
+          makeBuffer(absl::StrCat(outcomeName, ": ", reasonName, "\n"))};
+}
+
 /// Bits of RoutingDraw from this one on select the part of a split, lower bits the version.
 constexpr int SplitDrawShift = 32;
 
@@ -149,7 +159,9 @@
           {settings.MaxBody, settings.MaxHeaderBytes, settings.MaxConnections, ListenerReadTimeout},
           [this](HttpRequest request) { handleRequest(std::move(request)); },
           [this](RequestID id) { handleDisconnect(id); }, &held),
-      Random(settings.Seed), Log("ingress") {}
+      Random(settings.Seed), Log("ingress") {
+  Server.setHeaderHandler([this](const RequestHeader &head) { return checkHeader(head); });
+}
 
 IngressTask::~IngressTask() = default;
 
@@ -206,6 +218,49 @@
   return Budgets.try_emplace(service, MaxRetryTokens).first->second;
 }
 
+DurationMs IngressTask::timeoutOf(const RouteSpec &route, const HeaderFields &fields) const {
+  std::uint64_t requestedMs = 0;
+  if (absl::SimpleAtoi(headerValue(fields, Settings.Http.Deadline), &requestedMs))
+    return std::min<DurationMs>(route.Deadline, requestedMs);
+  return route.Deadline;
+}
+
+Refusal IngressTask::entryRefusal(const RouteSpec *route, const HeaderFields &fields,
+                                  TimeMs now) const {
+  if (!View)
+    return Refusal::NoConfig;
+  if (route == nullptr)
+    return Refusal::NoRoute;
+  if (!mayAccept(timeoutOf(*route, fields), now))
+    return Refusal::Draining;
+  return Contexts.size() >= Settings.MaxInFlight ? Refusal::Overloaded : Refusal::None;
+}
+
+std::optional<HttpResponse> IngressTask::checkHeader(const RequestHeader &head) {
+  const HeaderFields &fields = *head.Fields;
+  const RouteSpec *route = View ? View->routeFor(head.Path, headerValue(fields, "host")) : nullptr;
+  const bool large = route == nullptr ? head.DeclaredBody >= LargeBodyBytes : route->LargeBody;
+  const TimeMs now = steadyClockMs();
+  const Refusal reason = large ? entryRefusal(route, fields, now) : Refusal::None;
+  if (reason == Refusal::None)
+    return std::nullopt;
+  LastRequestAt = now;
+  const RouteName name = route == nullptr ? RouteName() : route->Name;
+  Stats.recordRequest(name, Outcome::NotRun, reason, 0);
+  Stats.recordHeaderRefusal(head.DeclaredBody);
+  HttpResponse response = makeRefusal(Outcome::NotRun, reason);
+  const std::string id = headerValue(fields, Settings.Http.RequestID);
+  RequestLine line;
+  line.Request = id;
+  line.Decision = decisionOf(Outcome::NotRun);
+  line.Reason = nameOf(reason);
+  line.Route = name.str();
+  line.Status = response.Status;
+  line.RetryAfter = addRetryAfter(response, 0);
+  Log.write(line, now);
+  return response;
+}
+
 void IngressTask::handleRequest(HttpRequest request) {
   const TimeMs now = steadyClockMs();
   LastRequestAt = now;
@@ -218,30 +273,20 @@
   context.ArrivedAt = now;
   context.ArrivedAtUs = steadyClockUs();
   context.RoutingDraw = Random();
-  const bool full = Contexts.size() >= Settings.MaxInFlight;
-  Contexts.emplace(context.Request.ID, std::move(owned));
-  if (!View) {
-    refuse(context, Outcome::NotRun, Refusal::NoConfig);
-    return;
-  }
+  const HeaderFields &fields = context.Request.Headers;
   const RouteSpec *route =
-      View->routeFor(context.Request.Path, headerValue(context.Request.Headers, "host"));
-  if (route == nullptr) {
-    refuse(context, Outcome::NotRun, Refusal::NoRoute);
-    return;
+      View ? View->routeFor(context.Request.Path, headerValue(fields, "host")) : nullptr;
+  const Refusal reason = entryRefusal(route, fields, now);
+  Contexts.emplace(context.Request.ID, std::move(owned));
+  if (route != nullptr) {
+    context.Route = *route;
+    context.Service = chooseService(*route, context.RoutingDraw >> SplitDrawShift);
   }
-  context.Route = *route;
-  context.Service = chooseService(*route, context.RoutingDraw >> SplitDrawShift);
-  DurationMs timeout = route->Deadline;
-  std::uint64_t requestedMs = 0;
-  if (absl::SimpleAtoi(headerValue(context.Request.Headers, Settings.Http.Deadline), &requestedMs))
-    timeout = std::min<DurationMs>(timeout, requestedMs);
-  const bool draining = !mayAccept(timeout, now);
-  if (full || draining) {
-    refuse(context, Outcome::NotRun, draining ? Refusal::Draining : Refusal::Overloaded);
+  if (reason != Refusal::None) {
+    refuse(context, Outcome::NotRun, reason);
     return;
   }
-  context.Deadline = now + timeout;
+  context.Deadline = now + timeoutOf(*route, fields);
   if (!route->Idempotent)
     context.Key = headerValue(context.Request.Headers, header::Key);
   retryBudgetFor(context.Service).deposit();
@@ -281,6 +326,8 @@
     call.Headers.push_back({header::Suspect, "1"});
   if (const double limit = EndpointStates.limitOf(endpoint); limit > 0)
     call.Headers.push_back({header::Limit, absl::StrFormat("%.3f,%s", limit, endpoint.InstanceID)});
+  if (context.Route.LargeBody)
+    call.Headers.push_back({header::LargeBody, "1"});
   if (context.Search.MayQueue)
     call.Headers.push_back({header::MayQueue, "1"});
   call.Body = makeBuffer();
@@ -303,6 +350,15 @@
   Stats.recordNewVersion(service.Name, drawn == endpoint.Version);
 }
 
+const Endpoint *IngressTask::chooseGate(RequestContext &context, const ServiceView &service,
+                                        TimeMs now) {
+  const PlacementRequest request = placementOf(context, now);
+  return context.Route.LargeBody
+             ? nextForLargeBody(context.Search, service, request, EndpointStates, Settings.Host,
+                                Random, now)
+             : nextEndpoint(context.Search, service, request, EndpointStates, Random, now);
+}
+
 void IngressTask::startAttempt(RequestContext &context) {
   const TimeMs now = steadyClockMs();
   // When the node is short of CPU time, the event loop may process a gate's response before the
@@ -316,10 +372,7 @@
     return;
   }
   const ServiceView *service = View->serviceNamed(context.Service);
-  const Endpoint *endpoint = service == nullptr
-                                 ? nullptr
-                                 : nextEndpoint(context.Search, *service, placementOf(context, now),
-                                                EndpointStates, Random, now);
+  const Endpoint *endpoint = service == nullptr ? nullptr : chooseGate(context, *service, now);
   if (endpoint == nullptr) {
     failRequest(context, context.LastRefusal);
     return;
@@ -460,8 +513,17 @@
   Contexts.erase(context.Request.ID);
 }
 
-DurationMs IngressTask::chooseRetryAfter(const RequestContext &context) {
-  const DurationMs minimum = std::clamp(context.RetryAfter, MinRetryAfter, MaxRetryAfter);
+DurationMs IngressTask::addRetryAfter(HttpResponse &response, DurationMs shortest) {
+  if (response.Status != StatusUnavailable && response.Status != StatusTooManyRequests)
+    return 0;
+  const DurationMs after = chooseRetryAfter(shortest);
+  response.Headers.push_back(
+      {header::RetryAfter, absl::StrFormat("%.3f", static_cast<double>(after) / MsPerSecond)});
+  return after;
+}
+
+DurationMs IngressTask::chooseRetryAfter(DurationMs shortest) {
+  const DurationMs minimum = std::clamp(shortest, MinRetryAfter, MaxRetryAfter);
   // Jitter of up to 100 % keeps refused callers from retrying at the same time.
   return minimum + Random() % minimum;
 }
@@ -470,20 +532,11 @@
   const TimeMs now = steadyClockMs();
   Stats.recordRequest(context.Route.Name, outcome, reason,
                       static_cast<double>(steadyClockUs() - context.ArrivedAtUs));
-  const std::string outcomeName(nameOf(outcome));
-  const std::string reasonName(nameOf(reason));
-  HttpResponse response{statusFor(outcome, reason),
-                        {{header::Outcome, outcomeName}, {header::Reason, reasonName}},
-                        makeBuffer(absl::StrCat(outcomeName, ": ", reasonName, "\n"))};
+  HttpResponse response = makeRefusal(outcome, reason);
   RequestLine line = makeLogLine(context, decisionOf(outcome), now);
-  line.Reason = reasonName;
+  line.Reason = nameOf(reason);
   line.Status = response.Status;
-  if (response.Status == StatusUnavailable || response.Status == StatusTooManyRequests) {
-    line.RetryAfter = chooseRetryAfter(context);
-    response.Headers.push_back(
-        {header::RetryAfter,
-         absl::StrFormat("%.3f", static_cast<double>(line.RetryAfter) / MsPerSecond)});
-  }
+  line.RetryAfter = addRetryAfter(response, context.RetryAfter);
   Log.write(line, now);
   Server.reply(context.Request.ID, std::move(response));
   Contexts.erase(context.Request.ID);
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -1,7 +1,7 @@
 /// @file ingress_task.h Routes the requests of local callers to gates and reports each outcome.
 #pragma once
 
-#include "balance/placement.h"
+#include "balance/large_body.h"
 #include "http/http_server.h"
 #include "traffic/caller_service.h"
 #include "traffic/gate_task.h"
@@ -49,6 +49,13 @@
   struct RequestContext;
 
   void handleRequest(HttpRequest request);
+  /// Refuses a request with a large body that can't be sent on, before its body is read.
+  std::optional<HttpResponse> checkHeader(const RequestHeader &head);
+  /// @returns the time limit of a request, ms.
+  DurationMs timeoutOf(const RouteSpec &route, const HeaderFields &fields) const;
+  /// @returns why a request can't be sent on, whatever its body is; None if it can.
+  Refusal entryRefusal(const RouteSpec *route, const HeaderFields &fields, TimeMs now) const;
+  const Endpoint *chooseGate(RequestContext &context, const ServiceView &service, TimeMs now);
   void handleDisconnect(RequestID id);
   bool mayAccept(DurationMs timeout, TimeMs now) const;
   void endPending();
@@ -64,7 +71,11 @@
   void respond(RequestContext &context, HttpResult result);
   void refuse(RequestContext &context, Outcome outcome, Refusal reason);
   HttpCall makeGateCall(const RequestContext &context, const Endpoint &endpoint, TimeMs now) const;
-  DurationMs chooseRetryAfter(const RequestContext &context);
+  /// @param shortest shortest time stated by a gate, ms; 0: none.
+  DurationMs chooseRetryAfter(DurationMs shortest);
+  /// Adds the time to come back to a response that allows for it.
+  /// @returns that time, ms; 0: none.
+  DurationMs addRetryAfter(HttpResponse &response, DurationMs shortest);
   RequestLine makeLogLine(const RequestContext &context, std::string_view decision,
                           TimeMs now) const;
   RetryBudget &retryBudgetFor(const ServiceName &service);
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -80,6 +80,11 @@
                   "jasmineloom_limit_refusals_total ", LimitRefusals,
                   "\n# TYPE jasmineloom_upstream_limit_per_second gauge\n",
                   "jasmineloom_upstream_limit_per_second ", UpstreamLimit, "\n");
+  absl::StrAppend(&out, "# TYPE jasmineloom_header_refusals_total counter\n",
+                  "jasmineloom_header_refusals_total ", HeaderRefusals,
+                  "\n# TYPE jasmineloom_unread_body_bytes_total counter\n",
+                  "jasmineloom_unread_body_bytes_total ", UnreadBytes, "\n");
+  addGauge(out, "refused_documents", Control.RefusedDocuments);
   addGauge(out, "held_version", Control.HeldVersion);
   addGauge(out, "known_version", Control.KnownVersion);
   addGauge(out, "control_bytes_in", Control.BytesIn);
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -40,6 +40,12 @@
   /// @param byShare the version was drawn by its share; otherwise the old one had no upstream.
   void recordNewVersion(const ServiceName &service, bool byShare);
   void recordGateRefusal(Refusal refusal);
+  /// Counts a request that was refused before its body was read.
+  /// @param bytes length of the body; 0: not declared.
+  void recordHeaderRefusal(std::size_t bytes) {
+    ++HeaderRefusals;
+    UnreadBytes += bytes;
+  }
   /// Counts a refusal of the gate while its upstream's limit was used up.
   void recordLimitRefusal() { ++LimitRefusals; }
   /// @param perSecond limit that the local upstream names; 0: none.
@@ -73,6 +79,8 @@
   std::map<HeartbeatResult, std::uint64_t> Heartbeats;
   std::uint64_t Retries = 0;
   std::uint64_t LimitRefusals = 0;
+  std::uint64_t HeaderRefusals = 0;
+  std::uint64_t UnreadBytes = 0; ///< Declared by requests refused before their bodies were read.
   double UpstreamLimit = 0;
   DurationMs LongestStall = 0;
   HeldFigures Held;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -5,6 +5,7 @@
 
 #include "config/config_holder.h"
 #include "config/declarations.h"
+#include "config/refused_entries.h"
 
 #include "test_config.h"
 
@@ -162,3 +163,18 @@
   BOOST_TEST(message.find("nmae") != std::string::npos, message);
   BOOST_TEST(!parseDeclarations("x.json", "{not json").ok());
 }
+
+// Guards against an entry that is reported with every read of the document, and against one whose
+// next version is not reported.
+BOOST_AUTO_TEST_CASE(a_refused_entry_is_reported_once_for_each_content) {
+  RefusedEntries refused;
+  BOOST_TEST(refused.record("config", "version 4"));
+  BOOST_TEST(!refused.record("config", "version 4"));
+  BOOST_TEST(refused.record("order", "version 4"));
+  BOOST_TEST(refused.record("config", "version 5"));
+  refused.clear("config");
+  BOOST_TEST(refused.record("config", "version 5"));
+  BOOST_TEST(refused.total() == 4U);
+  BOOST_TEST(describeInForce(3) == "version 3 stays in force as a whole");
+  BOOST_TEST(describeInForce(0) == "no configuration is in force, requests get 503");
+}
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -8,6 +8,7 @@
 #include "event_util.h"
 #include "platform_environment.h"
 
+#include <absl/strings/escaping.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,16 +26,19 @@
 /// Time in which a change must be in force on all nodes.
 constexpr DurationMs PropagationBound = 2 * MsPerSecond;
 
-/// Runs a control task against a store that answers only lists of the registered roots, or nothing.
+/// Runs a control task against a store that answers only lists of the registered roots and of the
+/// operators' document, or nothing.
 class ListingStore {
 public:
   /// @param roots number of roots of the task's data centre in the list; none: nothing is answered.
   /// @param value value of each entry, in Base64; by default 127.0.0.1:1.
   /// @param hasDocument whether lists of the operators' document are answered.
+  /// @param document items of those lists.
   explicit ListingStore(std::optional<int> roots,
-                        std::string value = "MTI3LjAuMC4xOjE=", bool hasDocument = false)
-      : Roots(roots), Value(std::move(value)), HasDocument(hasDocument), Thread([this] { run(); }) {
-  }
+                        std::string value = "MTI3LjAuMC4xOjE=", bool hasDocument = false,
+                        std::string document = "")
+      : Roots(roots), Value(std::move(value)), HasDocument(hasDocument),
+        Document(std::move(document)), Thread([this] { run(); }) {}
   ~ListingStore() {
     Inbox.put(Drained{});
     Thread.join();
@@ -48,6 +52,21 @@
     return LongestWatch;
   }
 
+  /// @returns the number of refused documents that the task states, once it states any.
+  std::uint64_t refusedDocuments() {
+    for (int n = 0; n < 1000; ++n) {
+      for (const TrafficCommand &command : Traffic.takeAll()) {
+        if (const auto *call = std::get_if<StoreCall>(&command))
+          receive(*call);
+        const auto *figures = std::get_if<ControlFigures>(&command);
+        if (figures != nullptr && figures->RefusedDocuments != 0)
+          return figures->RefusedDocuments;
+      }
+      usleep(5000);
+    }
+    return 0;
+  }
+
   /// @returns the paths of the calls made within a time.
   std::vector<std::string> callsWithin(DurationMs time) {
     std::vector<std::string> paths;
@@ -68,7 +87,7 @@
     const bool isRootList = !isDocumentList && call.Call.Path.rfind("/kv-range", 0) == 0;
     if (isDocumentList && HasDocument)
       Inbox.put(StoreReply{call.Number, true, true, 200,
-                           R"({"store_revision":1,"has_more":false,"items":[]})"});
+                           R"({"store_revision":1,"has_more":false,"items":[)" + Document + "]}"});
     if (call.Call.Path.rfind("/kv-watch", 0) == 0)
       LongestWatch = std::max(LongestWatch, call.Timeout);
     if (isRootList && Roots.has_value()) {
@@ -96,6 +115,7 @@
   std::optional<int> Roots;
   std::string Value;
   bool HasDocument;
+  std::string Document;
   DurationMs LongestWatch = 0;
   TrafficMailbox Traffic;
   ControlMailbox Inbox;
@@ -149,6 +169,18 @@
   BOOST_TEST(longest <= PropagationBound);
 }
 
+// Guards against a configuration that is refused without a sign.
+BOOST_AUTO_TEST_CASE(a_document_with_an_odd_object_is_refused_and_counted) {
+  const std::string config =
+      R"({"version":"00000001","services":{"s":{}},"routes":{"r":{"host":"h","prefix":"/",)"
+      R"("kind":"sometimes","service":"s","timeout_ms":1000,"attempts":1}}})";
+  std::string encoded;
+  absl::Base64Escape(config, &encoded);
+  ListingStore store(0, "MTI3LjAuMC4xOjE=", true,
+                     R"({"key":"op/config","revision":1,"value":")" + encoded + "\"}");
+  BOOST_TEST(store.refusedDocuments() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(starting_node_registers_only_if_few_roots_are_registered) {
   for (const int roots : {0, 1, 2, 3, 6}) {
     ListingStore store(roots);
--- a/tests/fuzz/fuzz_http.cpp
+++ b/tests/fuzz/fuzz_http.cpp
@@ -15,6 +15,8 @@
 void readRequests(evbuffer *in, HttpRequestReader &reader) {
   for (;;) {
     const RequestReadResult result = reader.read(in);
+    if (std::holds_alternative<RequestHeader>(result))
+      continue;
     const auto *parsed = std::get_if<ParsedRequest>(&result);
     if (parsed == nullptr)
       return;
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -553,3 +553,16 @@
   }
   sendHeartbeat("i-1", "s", 10);
 }
+
+// Load: a slow link. Guards against a gate that reads a body whose refusal is certain.
+BOOST_AUTO_TEST_CASE(gate_refuses_a_large_body_before_it_is_sent) {
+  PlatformTask task;
+  const int fd = connectTo(GatePort);
+  sendText(fd, absl::StrCat("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n",
+                            header::Secret, ": a-secret-of-the-test\r\n", header::Service,
+                            ": s\r\n", header::LargeBody, ": 1\r\n\r\n"));
+  const std::string response = readHead(fd);
+  BOOST_TEST(response.find("HTTP/1.1 503 ") == 0U, response);
+  BOOST_TEST(response.find("x-jasmine-outcome: not-run") != std::string::npos, response);
+  close(fd);
+}
