Take no status outside 200 to 599 for an answer

Cause: a response of status 600 or 999 reached the caller as it was; one of 000 or 101 was skipped as interim and the request held until its deadline.

Change: the response reader refuses such a status with the header, and skips only 100, 102 and 103. The check of a response refuses them as well.

Ruled out: treating them like bytes that are not HTTP: those count as a cut, which makes a request suspect of crashing its upstream.

--- a/src/http/http_pool.cpp
+++ b/src/http/http_pool.cpp
@@ -280,8 +280,8 @@
     updateHeld(connection);
     return;
   }
-  if (std::holds_alternative<ResponseInvalid>(result)) {
-    fail(call, false);
+  if (const auto *invalid = std::get_if<ResponseInvalid>(&result)) {
+    fail(call, false, invalid->OddStatus);
     return;
   }
   ParsedResponse &response = std::get<ParsedResponse>(result);
@@ -351,9 +351,10 @@
   end(call, std::move(result));
 }
 
-void HttpPool::fail(Call &call, bool timedOut) {
+void HttpPool::fail(Call &call, bool timedOut, bool oddStatus) {
   HttpResult result;
   result.TimedOut = timedOut;
+  result.OddStatus = oddStatus;
   if (call.Conn != nullptr) {
     result.BytesSent = hasSent(call);
     call.Conn->Current = nullptr;
--- a/src/http/http_pool.h
+++ b/src/http/http_pool.h
@@ -42,6 +42,7 @@
   bool Complete = false;  ///< A complete response was received.
   bool BytesSent = false; ///< Part of the request may have reached the peer.
   bool TimedOut = false;
+  bool OddStatus = false; ///< The response had a status that is no answer; it is not complete.
   /// The response can only be that to this call: it repeats the call's EchoedField, or no earlier
   /// call used the connection.
   bool Matched = false;
@@ -103,7 +104,7 @@
   void readResponse(Connection &connection);
   void handleReadResult(Connection &connection, ResponseReadResult result);
   void finish(Call &call, ParsedResponse response);
-  void fail(Call &call, bool timedOut);
+  void fail(Call &call, bool timedOut, bool oddStatus = false);
   static bool hasSent(const Call &call);
   void end(Call &call, HttpResult result);
   void closeLater(Connection *connection);
--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -14,9 +14,19 @@
 
 constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
 constexpr int FirstFinalStatus = 200;
+constexpr int LastFinalStatus = 599;
+constexpr int StatusContinue = 100;
+constexpr int StatusProcessing = 102;
+constexpr int StatusEarlyHints = 103;
 
 } // namespace
 
+bool isFinalStatus(int status) { return status >= FirstFinalStatus && status <= LastFinalStatus; }
+
+bool isInterimStatus(int status) {
+  return status == StatusContinue || status == StatusProcessing || status == StatusEarlyHints;
+}
+
 struct HttpResponseReader::Parser {
   http::response_parser<http::string_body> Beast;
 };
@@ -56,10 +66,15 @@
     // In eager mode the parser would continue with the body in the same call and lose the error for
     // a Content-Length above the body limit, so eager mode starts only after the header.
     Current->Beast.eager(Current->Beast.is_header_done());
+    if (inHeader && Current->Beast.is_header_done()) {
+      const auto status = static_cast<int>(Current->Beast.get().result_int());
+      if (!isFinalStatus(status) && !isInterimStatus(status))
+        return ResponseInvalid{true};
+    }
     if (Current->Beast.is_done()) {
       ParsedResponse response = finish();
       begin(Bodiless);
-      if (response.Status >= FirstFinalStatus)
+      if (isFinalStatus(response.Status))
         return response;
       continue;
     }
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -23,10 +23,18 @@
 /// More bytes are needed to complete the response.
 struct ResponseIncomplete {};
 /// The bytes are not a valid HTTP response, exceed a size limit, or are truncated.
-struct ResponseInvalid {};
+struct ResponseInvalid {
+  bool OddStatus = false; ///< Its status is neither final nor that of an interim response.
+};
 using ResponseReadResult = std::variant<ResponseIncomplete, ParsedResponse, ResponseInvalid>;
 
-/// Parses one response after another and skips interim (1xx) responses.
+/// @returns whether a status is that of a final response (RFC 9110 section 15).
+bool isFinalStatus(int status);
+/// @returns whether a status is that of an interim response. 101 is none: it ends the use of HTTP
+/// on the connection, which no request asks for.
+bool isInterimStatus(int status);
+
+/// Parses one response after another and skips interim responses.
 class HttpResponseReader {
 public:
   explicit HttpResponseReader(std::size_t maxBody);
--- a/src/traffic/gate_upstream.cpp
+++ b/src/traffic/gate_upstream.cpp
@@ -134,13 +134,14 @@
     }
     recordEvidence(context, result);
     recordResult(context, true);
-    const bool cut = !result.TimedOut && isForPresentProcess(context);
+    const bool cut = !result.TimedOut && !result.OddStatus && isForPresentProcess(context);
     if (cut)
       handleUpstreamCut(context);
     refuse(context, Outcome::Unknown,
-           result.TimedOut ? Refusal::Deadline
-           : cut           ? Refusal::UpstreamCut
-                           : Refusal::Transport);
+           result.TimedOut    ? Refusal::Deadline
+           : result.OddStatus ? Refusal::BadAnswer
+           : cut              ? Refusal::UpstreamCut
+                              : Refusal::Transport);
     return;
   }
   const ResponseKind kind = classifyResponse(Settings.Http, result, context.CallerRequestID);
--- a/src/traffic/response_check.cpp
+++ b/src/traffic/response_check.cpp
@@ -25,6 +25,8 @@
 
 ResponseKind classifyResponse(const HttpHeaderNames &headerNames, const HttpResult &result,
                               const std::string &identity) {
+  if (!isFinalStatus(result.Status))
+    return ResponseKind::Invalid;
   const std::string *echoed = find(result, headerNames.RequestID);
   if (echoed != nullptr && !identity.empty() && *echoed != identity)
     return ResponseKind::Invalid;
--- a/src/traffic/response_check.h
+++ b/src/traffic/response_check.h
@@ -11,7 +11,8 @@
 enum class ResponseKind : std::uint8_t {
   Valid,  ///< The response of the upstream to this request.
   NotRun, ///< The upstream reports that it has not run this request.
-  Invalid ///< May belong to another request, lacks the signature, or was re-encoded on the way.
+  Invalid ///< Has no final status, may belong to another request, lacks the signature, or was
+          ///< re-encoded on the way.
 };
 
 /// Classifies a complete response.
--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -634,6 +634,50 @@
   }
 }
 
+struct StatusCase {
+  const char *Status;
+  const char *Fields;
+  bool Complete;
+};
+
+// Load: an upstream in trouble. Guards against a status that is none being passed on as an answer,
+// or being taken for an interim response until the time limit.
+BOOST_AUTO_TEST_CASE(only_final_statuses_are_answers) {
+  constexpr DurationMs TimeLimit = 3000;
+  const char *length = "Content-Length: 3\r\n";
+  const std::vector<StatusCase> cases = {
+      {"200", length, true},  {"404", length, true},  {"599", length, true},
+      {"000", length, false}, {"000", "", false},     {"099", length, false},
+      {"101", length, false}, {"101", "", false},     {"104", length, false},
+      {"199", "", false},     {"600", length, false}, {"999", length, false},
+  };
+  for (const StatusCase &it : cases) {
+    const EventBasePtr base = makePreciseBase();
+    HttpPool pool(base.get(), 1000);
+    // Without a length, a complete response follows, which would answer an interim one.
+    ScriptedPeer peer({std::string("HTTP/1.1 ") + it.Status + " X\r\n" + it.Fields + "\r\n" +
+                       (*it.Fields == 0 ? CompleteResponse : "yes")},
+                      0);
+    const TimeMs start = steadyClockMs();
+    const HttpResult result = callPeer(pool, base.get(), TimeLimit, PeerPort);
+    BOOST_TEST(result.Complete == it.Complete, it.Status << " " << it.Fields);
+    BOOST_TEST(result.OddStatus == !it.Complete, it.Status << " " << it.Fields);
+    BOOST_TEST(result.BytesSent, it.Status);
+    BOOST_TEST(steadyClockMs() - start < TimeLimit / 2, it.Status);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(interim_responses_are_skipped) {
+  for (const char *status : {"100", "102", "103"}) {
+    const EventBasePtr base = makePreciseBase();
+    HttpPool pool(base.get(), 1000);
+    ScriptedPeer peer({std::string("HTTP/1.1 ") + status + " X\r\n\r\n" + CompleteResponse}, 0);
+    const HttpResult result = callPeer(pool, base.get(), 3000, PeerPort);
+    BOOST_TEST(result.Complete, status);
+    BOOST_TEST(result.Status == 200, status);
+  }
+}
+
 /// A peer that sends a prefix and then one unit over and over, until the caller closes.
 class EndlessPeer {
 public:
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -231,6 +231,11 @@
       {"refusal that may be an earlier one", 503, {{"Not-Run", "1"}}, ResponseKind::Invalid, false},
       {"421 that may be an earlier one", 421, {}, ResponseKind::Invalid, false},
       {"503 without the not-run header", 503, {{"Request-Id", "r1"}}, ResponseKind::Valid},
+      {"no status", 0, {{"Request-Id", "r1"}, {"Signature", "s"}}, ResponseKind::Invalid},
+      {"switch of protocols", 101, {{"Request-Id", "r1"}}, ResponseKind::Invalid},
+      {"last status", 599, {{"Request-Id", "r1"}}, ResponseKind::Valid},
+      {"beyond the last status", 600, {{"Request-Id", "r1"}}, ResponseKind::Invalid},
+      {"refusal beyond the last status", 999, {{"Not-Run", "1"}}, ResponseKind::Invalid},
   };
   for (const ResponseCase &it : cases) {
     HttpResult result;
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -566,3 +566,27 @@
   BOOST_TEST(response.find("x-jasmine-outcome: not-run") != std::string::npos, response);
   close(fd);
 }
+
+// Guards against a status that is none reaching a caller, and against a wait for another response.
+BOOST_AUTO_TEST_CASE(odd_status_of_an_upstream_is_a_bad_answer_at_once) {
+  PlatformTask task;
+  task.Inbox.put(PublishView{viewOfOneGate()});
+  const int upstream = listenOn(UpstreamPort);
+  sendHeartbeat("i-1", "s", 10);
+  usleep(HeartbeatInterval / 2 * 1000);
+  sendHeartbeat("i-1", "s", 10, 2);
+  for (const char *status : {"000", "101", "600", "999"}) {
+    const int request = sendToGate("/1", "s", 60000);
+    BOOST_REQUIRE(isConnected(upstream, 2000));
+    const int connection = accept(upstream, nullptr, nullptr);
+    readHead(connection);
+    sendText(connection, absl::StrCat("HTTP/1.1 ", status,
+                                      " x\r\nRequest-Id: /1\r\nContent-Length: 2\r\n\r\nok"));
+    const std::string response = readHead(request);
+    BOOST_TEST(response.find("HTTP/1.1 502 ") == 0U, response);
+    BOOST_TEST(response.find("x-jasmine-reason: bad-answer") != std::string::npos, response);
+    close(request);
+    close(connection);
+  }
+  close(upstream);
+}
