Count bodies on their way against the slots, and wait longer for a fetched configuration

Change: a gate counts the bodies that it is reading when it decides by a header. A fetch waits three times the response timeout for a peer that has taken the connection.

Ruled out: the watch of the store; the node's parent had the version 0.83 s after it was acknowledged.

--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -242,20 +242,23 @@
   return late ? Refusal::Overloaded : Refusal::None;
 }
 
-bool Gate::isQueueFull() const {
-  return Queue.size() >= std::size_t{Upstream.Slots} * QueuePerSlot;
+bool Gate::isQueueFull(std::size_t arriving) const {
+  const std::size_t free = Upstream.Slots - std::min(InFlight, Upstream.Slots);
+  const std::size_t queueing = arriving - std::min(arriving, free);
+  return Queue.size() + queueing >= std::size_t{Upstream.Slots} * QueuePerSlot;
 }
 
-AdmissionResult Gate::checkHeader(const GateRequest &request, TimeMs now) const {
+AdmissionResult Gate::checkHeader(const GateRequest &request, std::size_t arriving,
+                                  TimeMs now) const {
   const Refusal refusal = refusalFor(request, now);
   if (refusal != Refusal::None)
     return {Admission::Refused, refusal, std::nullopt};
-  if (Queue.empty() && mayRun(request, now))
+  if (Queue.empty() && mayRun(request, now) && InFlight + arriving < Upstream.Slots)
     return {Admission::Run, Refusal::None, std::nullopt};
   const double wait = expectedWait(request, now);
   const auto retryAfter = static_cast<DurationMs>(wait + MeanServiceMs / Upstream.Slots);
   Refusal reason = waitRefusal(request, wait, now);
-  if (reason == Refusal::None && isQueueFull()) {
+  if (reason == Refusal::None && isQueueFull(arriving)) {
     const std::vector<QueueRank> waiting = ranks(now);
     const QueueRank rank = rankOf(request, now);
     const bool outranks = std::any_of(waiting.begin(), waiting.end(), [&rank](const QueueRank &it) {
--- a/src/control/control_config.cpp
+++ b/src/control/control_config.cpp
@@ -12,6 +12,10 @@
 /// Time that a node which reads the operators' document gives the store before it fetches the same
 /// version from a peer.
 constexpr DurationMs DocumentReadTime = 300;
+/// Multiple of the response timeout for which a peer that has taken the connection may be silent.
+/// On a link full of bodies an answer takes longer than its timeout, and one that is asked for
+/// again waits behind them again.
+constexpr unsigned FetchPatience = 3;
 
 } // namespace
 
@@ -41,7 +45,8 @@
         request.setHeldVersion(held.Version);
         request.setHeldDigest(held.Digest);
         kj::Promise<capnp::Response<wire::Peer::ConfigResults>> sent = request.send();
-        return failOnSilence(timer(), connection, limit, steadyClockMs(), kj::mv(sent));
+        return failOnSilence(timer(), connection, FetchPatience * limit, steadyClockMs(),
+                             kj::mv(sent));
       })
       .then([this, source](capnp::Response<wire::Peer::ConfigResults> response) {
         receiveConfig(source, response.getUpdate());
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -128,7 +128,9 @@
   const TimeMs now = steadyClockMs();
   AdmissionResult result{Admission::Refused, Refusal::NoConfig, std::nullopt};
   if (View)
-    result = AdmissionControl.checkHeader(gateRequestOf(fields, now), now);
+    // The server counts the request that it asks about.
+    result = AdmissionControl.checkHeader(gateRequestOf(fields, now), Server.bodiesInTransfer() - 1,
+                                          now);
   if (result.Result != Admission::Refused)
     return std::nullopt;
   Stats.recordGateRefusal(result.Reason);
