Tell eras of the store apart, and write again what it has lost

Cause: a store that came back from a copy some seconds old gave revisions out again. An order for another version at a known revision was taken for known, a watch went on from a revision that was gone, and leases were renewed under numbers that another node may have.

Change: each answer is judged by its era. A newer one makes the node list the document, register as a root, and write status and departures again; an older one proves nothing. Orders are told apart by era, revision and target; an order that is written again keeps its outcome. The stand-in store and the tests' store come back from copies.

--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -98,8 +98,13 @@
           return false;
         // The watch starts at the first page's revision, so it reports changes made while further
         // pages were read.
-        if (after.empty())
+        if (after.empty()) {
           DocumentRead.Revision = response.Revision;
+          DocumentRead.Era = response.Era;
+        }
+        // Pages of two eras are not one document.
+        if (response.Era != DocumentRead.Era)
+          return false;
         applyEntries(response.Entries);
         if (response.HasMore && !response.Entries.empty())
           return listDocument(response.Entries.back().Key);
@@ -112,7 +117,7 @@
 kj::Promise<bool> ControlTask::watchDocument() {
   const StoreWatch watch{Settings.Env.Document->Prefix, DocumentRead.Revision,
                          Watches.nextHold(watchShare(steadyClockMs()))};
-  return Store.send(watch).then([this](StoreResponse response) {
+  return Store.send(watch).then([this, watch](StoreResponse response) {
     if (response.Result == StoreResult::Compacted) {
       recordEvent("store", "watch", "history compacted in the store; listing all entries again");
       DocumentRead.Listed = false;
@@ -120,6 +125,14 @@
     }
     if (response.Result != StoreResult::Ok)
       return false;
+    // The store has lost the revision from which the watch went on, and may give it out again.
+    const bool lost = response.Era != DocumentRead.Era ||
+                      (response.Revision != 0 && response.Revision < watch.AfterRevision);
+    if (lost) {
+      recordEvent("store", "watch", "history lost in the store; listing all entries again");
+      DocumentRead.Listed = false;
+      return true;
+    }
     DocumentRead.Revision = std::max(DocumentRead.Revision, response.Revision);
     Watches.recordAnswer(!response.Entries.empty());
     applyEntries(response.Entries);
@@ -136,8 +149,9 @@
     }
     std::visit(Overloaded{[&](const std::monostate &) { Refused.clear(entry.Key); },
                           [&](const ConfigDocument &document) { applyDocument(document, entry); },
-                          [&](const RolloutOrder &order) {
+                          [&](RolloutOrder &order) {
                             Refused.clear(entry.Key);
+                            order.Era = DocumentRead.Era;
                             receiveOrder(order);
                           },
                           [](const EvacuationEntry &) {}},
@@ -173,11 +187,28 @@
   propagateChanges(changes);
 }
 
+std::vector<RolloutProgress> ControlTask::ordersOf(const ServiceName &service) const {
+  std::vector<RolloutProgress> orders;
+  for (const auto &[id, it] : Node.progress()) {
+    if (it.Order != 0 && it.Service == service)
+      orders.push_back(it);
+  }
+  return orders;
+}
+
 void ControlTask::receiveOrder(const RolloutOrder &order) {
   if (Node.progress().contains(orderID(order)))
     return;
-  recordEvent("rollout", orderID(order).str(),
-              absl::StrCat("ordered: version ", order.To.str(), " within ", order.Duration, " ms"));
+  std::vector<RolloutProgress> orders = ordersOf(order.Service);
+  orders.push_back(initialProgress(order));
+  orders = distinctOrders(std::move(orders));
+  const bool isNew = std::any_of(orders.begin(), orders.end(),
+                                 [&order](const auto &it) { return it.ID == orderID(order); });
+  recordEvent(
+      "rollout", orderID(order).str(),
+      isNew ? absl::StrCat("ordered: version ", order.To.str(), " within ", order.Duration, " ms")
+            : absl::StrCat("an order of an earlier era of the store, version ", order.To.str(),
+                           ": it goes on from where it was"));
   StateChanges changes;
   changes.ProgressChanged = Node.updateProgress(initialProgress(order));
   propagateChanges(changes);
@@ -226,13 +257,9 @@
 // --- Rollout orders ---
 
 std::optional<RolloutSpec> ControlTask::orderSpec(const RolloutProgress &progress) const {
-  std::vector<RolloutProgress> orders;
-  for (const auto &[id, it] : Node.progress()) {
-    if (it.Order != 0 && it.Service == progress.Service)
-      orders.push_back(it);
-    if (it.Service == progress.Service && it.Order > progress.Order)
-      return std::nullopt;
-  }
+  std::vector<RolloutProgress> orders = distinctOrders(ordersOf(progress.Service));
+  if (orders.empty() || orders.back().ID != progress.ID)
+    return std::nullopt;
   std::map<VersionLabel, std::uint32_t> upstreams;
   Node.hosts().forEach([&](const HostRecord &record, TimeMs) {
     if (record.Service == progress.Service && record.State == HostState::Ready)
@@ -254,11 +281,20 @@
 }
 
 void ControlTask::advanceOrders(TimeMs now, std::vector<RolloutID> &running) {
-  std::vector<RolloutProgress> orders;
+  std::set<ServiceName> services;
   for (const auto &[id, progress] : Node.progress()) {
     if (progress.Order != 0)
-      orders.push_back(progress);
+      services.insert(progress.Service);
   }
+  std::vector<RolloutProgress> orders;
+  StateChanges changes;
+  for (const ServiceName &service : services) {
+    orders.push_back(distinctOrders(ordersOf(service)).back());
+    // What its repetition has reached at a node that did not know the order.
+    changes.ProgressChanged |= Node.updateProgress(orders.back());
+  }
+  if (changes.ProgressChanged)
+    propagateChanges(changes);
   for (const RolloutProgress &progress : orders) {
     OrderState &state = Orders[progress.ID];
     if (state.KnownSince == 0)
@@ -367,10 +403,12 @@
     return;
   const std::optional<RolloutProgress> stored =
       Settings.Env.Document->DecodeStatus(response.Entries.front().Value);
-  if (!stored.has_value() || stored->Order != progress.Order)
+  if (!stored.has_value() || !isStatusOf(*stored, progress))
     return;
-  state.StoredPhase = stored->Phase;
-  state.StoredStage = stored->Stage;
+  if (stored->Order == progress.Order) {
+    state.StoredPhase = stored->Phase;
+    state.StoredStage = stored->Stage;
+  }
   RolloutProgress restored = progress;
   restored.Phase = stored->Phase;
   restored.Stage = stored->Stage;
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -61,8 +61,10 @@
           return false;
         const StorePut put{departureKeys() + message.Departure.ID.str(),
                            encodeDeparture(message.Departure), granted.Lease};
-        return Store.send(put).then(
-            [](StoreResponse written) { return written.Result == StoreResult::Ok; });
+        return Store.send(put).then([era = granted.Era](StoreResponse written) {
+          // A lease of an earlier era is gone, and its number may be that of another node's.
+          return written.Result == StoreResult::Ok && written.Era == era;
+        });
       })
       .then([this, message, until, backoff](bool written) -> kj::Promise<void> {
         if (written) {
@@ -81,6 +83,33 @@
       });
 }
 
+void ControlTask::handleNewEra() {
+  const TimeMs now = steadyClockMs();
+  recordEvent("store", "era",
+              absl::StrCat("the store has come back from an older copy, era ", Store.era(),
+                           "; what it may have lost is read and written again"));
+  if (DocumentRead.Listed) {
+    DocumentRead.Listed = false;
+    spawn(readDocument().ignoreResult(), "document");
+  }
+  for (auto &[id, state] : Orders) {
+    state.StatusKnown = false;
+    state.StoredPhase.reset();
+    state.StoredStage = 0;
+  }
+  if (RootLease != 0) {
+    RootLease = 0;
+    NextLeaseRenewal = now;
+  }
+  restoreDepartures(now);
+}
+
+void ControlTask::restoreDepartures(TimeMs now) {
+  std::erase_if(Departures, [now](const auto &it) { return now >= it.second.Until; });
+  for (const auto &[id, it] : Departures)
+    spawn(storeDeparture(it.Message, it.Until, DepartureRetryDelay), "departure");
+}
+
 kj::Promise<void> ControlTask::confirmFloor() {
   auto departed = std::make_shared<DeparturesRestored>();
   auto queryParents = [this, departed] {
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -86,6 +86,7 @@
     spawnLoop([this] { return documentLoop(); }, "document");
   handleMessages();
   recordEvent("host", Settings.Identity.Host.str(), "started");
+  Store.setEraHandler([this] { handleNewEra(); });
   stop.promise.wait(Io.waitScope);
   return 0;
 }
@@ -214,6 +215,7 @@
   StateChanges changes;
   changes.TableChanged = true;
   propagateChanges(changes);
+  Departures[message.Departure.ID] = {message, now + TombstoneTime};
   spawn(storeDeparture(message, now + TombstoneTime, DepartureRetryDelay), "departure");
 }
 
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -113,10 +113,16 @@
     std::set<std::string> Addresses; ///< RPC addresses.
     std::size_t InOwnDataCentre = 0;
   };
+  /// A departure of the local upstream, and until when it is of use (steady clock).
+  struct StoredDeparture {
+    UpstreamDeparted Message;
+    TimeMs Until = 0;
+  };
   /// Progress in reading the operators' document.
   struct DocumentReadState {
     bool Listed = false;       ///< All entries were listed; changes are watched.
     std::int64_t Revision = 0; ///< Store revision after which the watch continues.
+    std::uint64_t Era = 0;     ///< Era of the store to which that revision belongs.
     DurationMs RetryDelay = 0; ///< Backoff before the next call after a failure.
     TimeMs AnsweredAt = 0;     ///< When the store last answered a read or a watch; 0: never.
     bool Overdue = false;      ///< The store's answer was overdue at the last check.
@@ -215,6 +221,12 @@
   /// @param reason names the object and what is wrong with it.
   void refuseEntry(const StoreEntry &entry, const std::string &reason);
   void receiveOrder(const RolloutOrder &order);
+  /// @returns the progress of all the orders of a service.
+  std::vector<RolloutProgress> ordersOf(const ServiceName &service) const;
+  /// Reads and writes again what the store may have lost.
+  void handleNewEra();
+  /// Writes the departures that are still of use again.
+  void restoreDepartures(TimeMs now);
   /// @returns whether a peer has been heard of, over a link that this node opened.
   bool isLinkAlive(const HostID &peer, TimeMs now) const;
   bool allLinksSilent(TimeMs now) const;
@@ -293,6 +305,8 @@
   /// Those in this data centre by the last list; empty before the first one.
   std::optional<std::size_t> RegisteredRoots;
   DocumentReadState DocumentRead;
+  /// Departures that this node has to keep in the store, by upstream.
+  std::map<UpstreamID, StoredDeparture> Departures;
   RefusedEntries Refused;
   WatchSchedule Watches;
   std::map<RolloutID, OrderState> Orders;
--- a/src/environment.h
+++ b/src/environment.h
@@ -75,7 +75,8 @@
   ServiceName Service;
   VersionLabel To;
   DurationMs Duration = 0;
-  std::uint64_t Number = 0; ///< Store revision of the order, so it increases with each order.
+  std::uint64_t Number = 0; ///< Store revision of the order, so it increases within an era.
+  std::uint64_t Era = 0;    ///< Era of the store in which the order was read; 0: not stated.
   auto operator<=>(const RolloutOrder &) const = default;
 };
 
--- a/src/rollout/rollout_order.cpp
+++ b/src/rollout/rollout_order.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 namespace jasmineloom {
 
@@ -64,6 +65,20 @@
   return added <= MaxEarlyRequests ? LowRateStart : planned.Start;
 }
 
+/// @returns whether an order may be one of an earlier era, read or written again.
+bool isSameOrder(const RolloutProgress &order, const RolloutProgress &earlier) {
+  return earlier.Era < order.Era && earlier.To == order.To && earlier.Duration == order.Duration;
+}
+
+/// Adds what another record of the same order has reached.
+void advance(RolloutProgress &order, const RolloutProgress &other) {
+  if (other.Phase > order.Phase) {
+    order.Phase = other.Phase;
+    order.Reason = other.Reason;
+  }
+  order.Stage = std::max(order.Stage, other.Stage);
+}
+
 } // namespace
 
 DecisionRule orderRule() {
@@ -76,14 +91,40 @@
   return rule;
 }
 
-VersionPolicy policyOf(std::vector<RolloutProgress> orders,
-                       const std::map<VersionLabel, std::uint32_t> &upstreams) {
+std::vector<RolloutProgress> distinctOrders(std::vector<RolloutProgress> orders) {
   std::sort(orders.begin(), orders.end(),
             [](const RolloutProgress &left, const RolloutProgress &right) {
-              return left.Order < right.Order;
+              return std::tie(left.Era, left.Order) < std::tie(right.Era, right.Order);
             });
+  std::vector<RolloutProgress> distinct;
+  std::uint64_t rewrittenIn = 0; // Era in which the latest order before was written again.
+  for (const RolloutProgress &order : orders) {
+    const auto kept =
+        std::find_if(distinct.rbegin(), distinct.rend(), [&order](const RolloutProgress &it) {
+          return isSameOrder(order, it) && it.Order == order.Order;
+        });
+    RolloutProgress *original = kept == distinct.rend() ? nullptr : &*kept;
+    if (original == nullptr && !distinct.empty() && isSameOrder(order, distinct.back()) &&
+        rewrittenIn != order.Era) {
+      original = &distinct.back();
+      rewrittenIn = order.Era;
+    }
+    if (original == nullptr)
+      distinct.push_back(order);
+    else
+      advance(*original, order);
+  }
+  return distinct;
+}
+
+bool isStatusOf(const RolloutProgress &stored, const RolloutProgress &order) {
+  return stored.To == order.To && (stored.Order == order.Order || stored.Era < order.Era);
+}
+
+VersionPolicy policyOf(std::vector<RolloutProgress> orders,
+                       const std::map<VersionLabel, std::uint32_t> &upstreams) {
   VersionPolicy policy;
-  for (const RolloutProgress &progress : orders) {
+  for (const RolloutProgress &progress : distinctOrders(std::move(orders))) {
     policy.Running.reset();
     switch (progress.Phase) {
     case RolloutPhase::Running:
@@ -113,7 +154,9 @@
 }
 
 RolloutID orderID(const RolloutOrder &order) {
-  return RolloutID(absl::StrCat(order.Service.str(), ".", order.Number));
+  if (order.Era == 0)
+    return RolloutID(absl::StrCat(order.Service.str(), ".", order.Number));
+  return RolloutID(absl::StrCat(order.Service.str(), ".", order.Era, ".", order.Number));
 }
 
 RolloutProgress initialProgress(const RolloutOrder &order) {
@@ -123,6 +166,7 @@
   progress.To = order.To;
   progress.Order = order.Number;
   progress.Duration = order.Duration;
+  progress.Era = order.Era;
   return progress;
 }
 
--- a/src/rollout/rollout_order.h
+++ b/src/rollout/rollout_order.h
@@ -30,6 +30,19 @@
 
 RolloutID orderID(const RolloutOrder &order);
 
+/// Removes the orders that repeat one of an earlier era of the store. After the store has come back
+/// from an older copy, an order that the copy had is read again at its old revision, and the latest
+/// one before may be written again at any revision. An order for another version is another order,
+/// whatever its revision.
+/// @param orders progress of all the orders of one service, in any sequence.
+/// @returns the others in the sequence in which they were given, with the furthest progress that
+/// they and their repetitions have reached.
+std::vector<RolloutProgress> distinctOrders(std::vector<RolloutProgress> orders);
+
+/// @returns whether a status that was read from the store is that of an order, or of the one of an
+/// earlier era that it repeats.
+bool isStatusOf(const RolloutProgress &stored, const RolloutProgress &order);
+
 /// @returns the progress of an order before its first step; its share is 0.
 RolloutProgress initialProgress(const RolloutOrder &order);
 
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -25,8 +25,13 @@
   else
     response.Result = reply.Sent ? StoreResult::Unknown : StoreResult::Unavailable;
   response.Era = reply.Era;
+  const EraChange change = reply.Complete ? Era.observe(reply.Era) : EraChange::None;
+  if (change == EraChange::Older)
+    response = withoutOlderEra(response);
   Reachable =
       response.Result != StoreResult::Unknown && response.Result != StoreResult::Unavailable;
+  if (change == EraChange::Newer && EraHandler)
+    EraHandler();
   pending.Fulfiller->fulfill(kj::mv(response));
 }
 
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -1,11 +1,12 @@
 /// @file store_client.h Sends requests to the store through the traffic task's HTTP connections.
 #pragma once
 
-#include "store/store_type.h"
+#include "store/store_era.h"
 #include "task_messages.h"
 
 #include <kj/async.h>
 
+#include <functional>
 #include <map>
 
 namespace jasmineloom {
@@ -23,6 +24,12 @@
   /// Starts a streaming watch of a key; counted in calls().
   void startWatch(const std::string &key);
 
+  /// @param handler invoked when the store has come back from an older copy, before the response
+  /// that tells so.
+  void setEraHandler(std::function<void()> handler) { EraHandler = std::move(handler); }
+  /// @returns the era of the store's latest answer; 0: not stated.
+  std::uint64_t era() const { return Era.current(); }
+
   std::uint64_t calls() const { return Calls; }
   bool reachable() const { return Reachable; }
   const StoreProtocol &protocol() const { return Protocol; }
@@ -36,6 +43,8 @@
   TrafficMailbox &Traffic;
   StoreProtocol Protocol;
   std::map<std::uint64_t, PendingRequest> Pending;
+  StoreEra Era;
+  std::function<void()> EraHandler;
   std::uint64_t Calls = 0;
   bool Reachable = false;
 };
--- a/standins/store_standin.cpp
+++ b/standins/store_standin.cpp
@@ -26,6 +26,11 @@
     {"port", SettingType::Number, 1, 65535, "2379", "port", "Port to listen on"},
 };
 
+/// Names the era of the store in its answers.
+constexpr const char *EraHeader = "store-era";
+/// Seconds for which copies are kept.
+constexpr std::size_t MaxCopies = 30;
+
 struct Entry {
   std::string Value;
   std::int64_t ModRevision = 0;
@@ -80,6 +85,7 @@
 public:
   explicit StoreStandin(event_base *base)
       : Base(base), ExpiryTimer(base, [this] { removeExpired(); }) {
+    keepCopy();
     ExpiryTimer.start(MsPerSecond);
   }
 
@@ -132,7 +138,7 @@
         evhttp_request_get_connection(request),
         [](evhttp_connection *, void *arg) { static_cast<DelayedReply *>(arg)->Request = nullptr; },
         &*it);
-    it->SendTimer = std::make_unique<Timer>(Base, [it] {
+    it->SendTimer = std::make_unique<Timer>(Base, [this, it] {
       if (it->Request != nullptr) {
         evhttp_connection_set_closecb(evhttp_request_get_connection(it->Request), nullptr, nullptr);
         sendJson(it->Request, it->Body);
@@ -142,14 +148,43 @@
     it->SendTimer->start(ActiveFaults.ReplyDelay);
   }
 
-  static void sendJson(evhttp_request *request, const std::string &response) {
+  void sendJson(evhttp_request *request, const std::string &response) const {
     const EvBufferPtr buf = makeBuffer(response);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
                       "application/json");
+    evhttp_add_header(evhttp_request_get_output_headers(request), EraHeader,
+                      std::to_string(Era).c_str());
     evhttp_send_reply(request, 200, "OK", buf.get());
   }
 
-  /// Serves /standin/fault and /standin/calls.
+  /// What the store held at a moment.
+  struct StoreCopy {
+    std::map<std::string, Entry> Entries;
+    std::int64_t Revision = 0;
+  };
+
+  /// Keeps a copy of each of the last seconds.
+  void keepCopy() {
+    Copies.push_front({Entries, Revision});
+    if (Copies.size() > MaxCopies)
+      Copies.pop_back();
+  }
+
+  /// Comes back from a copy some seconds old: what was written since is gone, and all leases;
+  /// revisions and leases are given out again.
+  void restoreCopy(std::size_t seconds) {
+    const auto copy = std::next(Copies.begin(),
+                                static_cast<std::ptrdiff_t>(std::min(seconds, Copies.size() - 1)));
+    Entries = copy->Entries;
+    Revision = copy->Revision;
+    Leases.clear();
+    LastLeaseID = 0;
+    ++Era;
+    Copies.erase(Copies.begin(), copy);
+    closeWatchConnections();
+  }
+
+  /// Serves /standin/fault, /standin/restore and /standin/calls.
   void handleControl(evhttp_request *request, const std::string &path) {
     evkeyvalq query{};
     const char *rawQuery = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
@@ -168,6 +203,8 @@
       if (ActiveFaults.Down)
         closeWatchConnections();
     }
+    if (path == "/standin/restore")
+      restoreCopy(static_cast<std::size_t>(number("seconds", 2)));
     if (path == "/standin/calls") {
       response = "";
       for (const auto &[name, n] : CallCounts)
@@ -355,6 +392,7 @@
     }
     std::erase_if(DelayedReplies,
                   [](const DelayedReply &delayed) { return delayed.Request == nullptr; });
+    keepCopy();
     ExpiryTimer.start(MsPerSecond);
   }
 
@@ -367,6 +405,8 @@
   std::map<std::string, long> CallCounts;
   std::int64_t Revision = 0;
   std::int64_t LastLeaseID = 0;
+  std::uint64_t Era = 1;       ///< Rises with each restoreCopy().
+  std::list<StoreCopy> Copies; ///< One for each second, the latest first; never empty.
   Faults ActiveFaults;
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -67,6 +67,14 @@
     return 0;
   }
 
+  /// Answers the watch that is waiting.
+  void answerWatch(int status, const std::string &body, std::uint64_t era) {
+    Inbox.put(StoreReply{PendingWatch, true, true, status, body, era});
+  }
+
+  /// Era that later answers to lists state; 0: none.
+  std::uint64_t Era = 0;
+
   /// @returns the paths of the calls made within a time.
   std::vector<std::string> callsWithin(DurationMs time) {
     std::vector<std::string> paths;
@@ -87,16 +95,20 @@
     const bool isRootList = !isDocumentList && call.Call.Path.rfind("/kv-range", 0) == 0;
     if (isDocumentList && HasDocument)
       Inbox.put(StoreReply{call.Number, true, true, 200,
-                           R"({"store_revision":1,"has_more":false,"items":[)" + Document + "]}"});
-    if (call.Call.Path.rfind("/kv-watch", 0) == 0)
+                           R"({"store_revision":5,"has_more":false,"items":[)" + Document + "]}",
+                           Era});
+    if (call.Call.Path.rfind("/kv-watch", 0) == 0) {
+      PendingWatch = call.Number;
       LongestWatch = std::max(LongestWatch, call.Timeout);
+    }
     if (isRootList && Roots.has_value()) {
       std::string items;
       for (int n = 0; n < *Roots; ++n)
         items += (n == 0 ? "" : ",") + std::string(R"({"key":")") + RootPrefix + "dc/old" +
                  std::to_string(n) + R"(","value":")" + Value + "\"}";
       Inbox.put(StoreReply{call.Number, true, true, 200,
-                           R"({"store_revision":1,"has_more":false,"items":[)" + items + "]}"});
+                           R"({"store_revision":5,"has_more":false,"items":[)" + items + "]}",
+                           Era});
     }
     return call.Call.Path;
   }
@@ -117,6 +129,7 @@
   bool HasDocument;
   std::string Document;
   DurationMs LongestWatch = 0;
+  std::uint64_t PendingWatch = 0; ///< Number of the last watch.
   TrafficMailbox Traffic;
   ControlMailbox Inbox;
   std::thread Thread;
@@ -181,6 +194,31 @@
   BOOST_TEST(store.refusedDocuments() == 1U);
 }
 
+struct LostHistoryCase {
+  const char *Name;
+  int Status;
+  const char *Body;
+  std::uint64_t Era;
+};
+
+// Guards against a watch that goes on from a revision which the store has lost and gives out again.
+BOOST_AUTO_TEST_CASE(the_document_is_listed_again_after_the_store_has_lost_history) {
+  const std::vector<LostHistoryCase> cases = {
+      {"a newer era", 200, R"({"store_revision":1,"events":[]})", 2},
+      {"a newer era, revision unknown", 410, "{}", 2},
+      {"compacted", 410, "{}", 1},
+      {"a lower revision of the same era", 200, R"({"store_revision":4,"events":[]})", 1},
+  };
+  for (const LostHistoryCase &it : cases) {
+    ListingStore store(0, "MTI3LjAuMC4xOjE=", true);
+    store.Era = 1;
+    BOOST_TEST(countOf(store.callsWithin(ObservedTime), "/kv-range?prefix=op") == 1, it.Name);
+    store.Era = it.Era;
+    store.answerWatch(it.Status, it.Body, it.Era);
+    BOOST_TEST(countOf(store.callsWithin(ObservedTime / 3), "/kv-range?prefix=op") >= 1, it.Name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(starting_node_registers_only_if_few_roots_are_registered) {
   for (const int roots : {0, 1, 2, 3, 6}) {
     ListingStore store(roots);
--- a/tests/kv_standin.h
+++ b/tests/kv_standin.h
@@ -60,6 +60,19 @@
     }
   }
   void compact() { HistoryFrom = Revision; }
+  /// Keeps a copy of the present state.
+  void keepCopy() { Copy = {Items, History, Revision}; }
+  /// Comes back from the copy: later changes and all leases are gone, and revisions are given out
+  /// again.
+  void restoreCopy() {
+    Items = Copy.Items;
+    History = Copy.History;
+    Revision = Copy.Revision;
+    Leases.clear();
+    LastLease = 0;
+    ++Era;
+  }
+  std::uint64_t Era = 1;
   std::size_t PageSize = 500;
 
 private:
@@ -105,7 +118,7 @@
 
   KvReply watch(const std::map<std::string, std::string> &query) {
     std::int64_t after = 0;
-    if (!absl::SimpleAtoi(query.at("after"), &after) || after < HistoryFrom)
+    if (!absl::SimpleAtoi(query.at("after"), &after) || after < HistoryFrom || after > Revision)
       return {410, "{}"};
     nlohmann::json events = nlohmann::json::array();
     for (const auto &[revision, event] : History) {
@@ -149,6 +162,13 @@
                     nlohmann::json({{"key", key}, {"revision", Revision}, {"removed", true}}));
   }
 
+  struct StoreCopy {
+    std::map<std::string, nlohmann::json> Items;
+    std::multimap<std::int64_t, nlohmann::json> History;
+    std::int64_t Revision = 1;
+  };
+
+  StoreCopy Copy;
   std::map<std::string, nlohmann::json> Items;
   std::multimap<std::int64_t, nlohmann::json> History;
   std::set<std::int64_t> Leases;
