--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -119,7 +119,7 @@
 kj::Promise<bool> ControlTask::watchDocument() {
   const StoreWatch watch{Settings.Env.Document->Prefix, DocumentRead.Revision,
                          Watches.nextHold(watchShare(steadyClockMs()))};
-  return Store.send(watch).then([this](StoreResponse response) {
+  return Store.send(watch).then([this, watch](StoreResponse response) {
     if (response.Result == StoreResult::Compacted) {
       recordEvent("store", "watch", "history compacted in the store; listing all entries again");
       DocumentRead.Listed = false;
@@ -127,6 +127,14 @@
     }
     if (response.Result != StoreResult::Ok)
       return false;
+    // The store has lost the revision from which the watch went on, and may give it out again.
+    const bool lost = response.Era != DocumentRead.Era ||
+                      (response.Revision != 0 && response.Revision < watch.AfterRevision);
+    if (lost) {
+      recordEvent("store", "watch", "history lost in the store; listing all entries again");
+      DocumentRead.Listed = false;
+      return true;
+    }
     DocumentRead.Revision = std::max(DocumentRead.Revision, response.Revision);
     Watches.recordAnswer(!response.Entries.empty());
     applyEntries(response.Entries, response.Era);
@@ -138,12 +146,16 @@
   for (const StoreEntry &entry : entries) {
     absl::StatusOr<DocumentEntry> decoded = Settings.Env.Document->Decode(entry);
     if (!decoded.ok()) {
-      recordEvent("config", entry.Key, absl::StrCat("refused: ", decoded.status().message()));
+      refuseEntry(entry, std::string(decoded.status().message()));
       continue;
     }
-    std::visit(Overloaded{[](const std::monostate &) {},
-                          [this](const ConfigDocument &document) { applyDocument(document); },
-                          [this](const RolloutOrder &order) { receiveOrder(order); },
+    std::visit(Overloaded{[&](const std::monostate &) { Refused.clear(entry.Key); },
+                          [&](const ConfigDocument &document) { applyDocument(document, entry); },
+                          [&](RolloutOrder &order) {
+                            Refused.clear(entry.Key);
+                            order.Era = era;
+                            receiveOrder(order);
+                          },
                           [this, era](const EvacuationEntry &evacuation) {
                             receiveEvacuation(evacuation, era);
                           }},
@@ -151,10 +163,19 @@
   }
 }
 
-void ControlTask::applyDocument(const ConfigDocument &document) {
+void ControlTask::refuseEntry(const StoreEntry &entry, const std::string &reason) {
+  if (Refused.record(entry.Key, entry.Value))
+    recordEvent(
+        "config", entry.Key,
+        absl::StrCat("refused: ", reason, "; ", describeInForce(Node.config().heldVersion())));
+}
+
+void ControlTask::applyDocument(const ConfigDocument &document, const StoreEntry &entry) {
   const SnapshotPtr held = Node.config().held();
-  if (held && document.Version <= held->Version)
+  if (held && document.Version <= held->Version) {
+    Refused.clear(entry.Key);
     return;
+  }
   std::vector<ConfigObjectPtr> objects;
   objects.reserve(document.Objects.size());
   for (const ConfigObject &object : document.Objects)
@@ -163,15 +184,35 @@
   const OfferResult result = Node.applyConfig(diffSnapshots(held.get(), *next));
   StateChanges changes;
   changes.ConfigApplied = result == OfferResult::Applied;
-  changes.ConfigRejected = result == OfferResult::Refused;
+  if (result == OfferResult::Refused)
+    refuseEntry(entry, Node.config().lastError());
+  else
+    Refused.clear(entry.Key);
   propagateChanges(changes);
 }
 
+std::vector<RolloutProgress> ControlTask::ordersOf(const ServiceName &service) const {
+  std::vector<RolloutProgress> orders;
+  for (const auto &[id, it] : Node.progress()) {
+    if (it.Order != 0 && it.Service == service)
+      orders.push_back(it);
+  }
+  return orders;
+}
+
 void ControlTask::receiveOrder(const RolloutOrder &order) {
   if (Node.progress().contains(orderID(order)))
     return;
-  recordEvent("rollout", orderID(order).str(),
-              absl::StrCat("ordered: version ", order.To.str(), " within ", order.Duration, " ms"));
+  std::vector<RolloutProgress> orders = ordersOf(order.Service);
+  orders.push_back(initialProgress(order));
+  orders = distinctOrders(std::move(orders));
+  const bool isNew = std::any_of(orders.begin(), orders.end(),
+                                 [&order](const auto &it) { return it.ID == orderID(order); });
+  recordEvent(
+      "rollout", orderID(order).str(),
+      isNew ? absl::StrCat("ordered: version ", order.To.str(), " within ", order.Duration, " ms")
+            : absl::StrCat("an order of an earlier era of the store, version ", order.To.str(),
+                           ": it goes on from where it was"));
   StateChanges changes;
   changes.ProgressChanged = Node.updateProgress(initialProgress(order));
   propagateChanges(changes);
@@ -266,13 +307,9 @@
 // --- Rollout orders ---
 
 std::optional<RolloutSpec> ControlTask::orderSpec(const RolloutProgress &progress) const {
-  std::vector<RolloutProgress> orders;
-  for (const auto &[id, it] : Node.progress()) {
-    if (it.Order != 0 && it.Service == progress.Service)
-      orders.push_back(it);
-    if (it.Service == progress.Service && it.Order > progress.Order)
-      return std::nullopt;
-  }
+  std::vector<RolloutProgress> orders = distinctOrders(ordersOf(progress.Service));
+  if (orders.empty() || orders.back().ID != progress.ID)
+    return std::nullopt;
   std::map<VersionLabel, std::uint32_t> upstreams;
   Node.hosts().forEach([&](const HostRecord &record, TimeMs) {
     if (record.Service == progress.Service && record.State == HostState::Ready)
@@ -294,11 +331,20 @@
 }
 
 void ControlTask::advanceOrders(TimeMs now, std::vector<RolloutID> &running) {
-  std::vector<RolloutProgress> orders;
+  std::set<ServiceName> services;
   for (const auto &[id, progress] : Node.progress()) {
     if (progress.Order != 0)
-      orders.push_back(progress);
+      services.insert(progress.Service);
   }
+  std::vector<RolloutProgress> orders;
+  StateChanges changes;
+  for (const ServiceName &service : services) {
+    orders.push_back(distinctOrders(ordersOf(service)).back());
+    // What its repetition has reached at a node that did not know the order.
+    changes.ProgressChanged |= Node.updateProgress(orders.back());
+  }
+  if (changes.ProgressChanged)
+    propagateChanges(changes);
   for (const RolloutProgress &progress : orders) {
     OrderState &state = Orders[progress.ID];
     if (state.KnownSince == 0)
@@ -407,10 +453,12 @@
     return;
   const std::optional<RolloutProgress> stored =
       Settings.Env.Document->DecodeStatus(response.Entries.front().Value);
-  if (!stored.has_value() || stored->Order != progress.Order)
+  if (!stored.has_value() || !isStatusOf(*stored, progress))
     return;
-  state.StoredPhase = stored->Phase;
-  state.StoredStage = stored->Stage;
+  if (stored->Order == progress.Order) {
+    state.StoredPhase = stored->Phase;
+    state.StoredStage = stored->Stage;
+  }
   RolloutProgress restored = progress;
   restored.Phase = stored->Phase;
   restored.Stage = stored->Stage;
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -88,6 +88,7 @@
     spawnLoop([this] { return documentLoop(); }, "document");
   handleMessages();
   recordEvent("host", Settings.Identity.Host.str(), "started");
+  Store.setEraHandler([this] { handleNewEra(); });
   stop.promise.wait(Io.waitScope);
   return 0;
 }
@@ -216,6 +217,7 @@
   StateChanges changes;
   changes.TableChanged = true;
   propagateChanges(changes);
+  Departures[message.Departure.ID] = {message, now + TombstoneTime};
   spawn(storeDeparture(message, now + TombstoneTime, DepartureRetryDelay), "departure");
 }
 
@@ -396,6 +398,7 @@
   figures.StoreReachable = Store.reachable();
   figures.ProofAge = PublishedProof == 0 ? 0 : bootClockMs() - PublishedProof;
   figures.DocumentAge = documentAge(now);
+  figures.RefusedDocuments = Refused.total();
   figures.Transfers = Transfers;
   figures.LinkFailures = LinkFailureCount;
   figures.EvidenceReports = EvidenceReports;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/change_cmd.h"
+#include "config/refused_entries.h"
 #include "control/watch_schedule.h"
 #include "environment.h"
 #include "mesh/mesh_node.h"
@@ -131,6 +132,11 @@
     std::set<std::string> Addresses; ///< RPC addresses.
     std::size_t InOwnDataCentre = 0;
   };
+  /// A departure of the local upstream, and until when it is of use (steady clock).
+  struct StoredDeparture {
+    UpstreamDeparted Message;
+    TimeMs Until = 0;
+  };
   /// Progress in reading the operators' document.
   struct DocumentReadState {
     bool Listed = false;                        ///< All entries were listed; changes are watched.
@@ -237,8 +243,18 @@
   void endEvacuations(std::int64_t revision);
   /// Records which data centres are evacuated, and the services that have no upstream elsewhere.
   void recordEvacuations(const RoutingView &view);
-  void applyDocument(const ConfigDocument &document);
+  /// @param entry entry of the store that holds the document.
+  void applyDocument(const ConfigDocument &document, const StoreEntry &entry);
+  /// Reports an entry that is refused, once for each content.
+  /// @param reason names the object and what is wrong with it.
+  void refuseEntry(const StoreEntry &entry, const std::string &reason);
   void receiveOrder(const RolloutOrder &order);
+  /// @returns the progress of all the orders of a service.
+  std::vector<RolloutProgress> ordersOf(const ServiceName &service) const;
+  /// Reads and writes again what the store may have lost.
+  void handleNewEra();
+  /// Writes the departures that are still of use again.
+  void restoreDepartures(TimeMs now);
   /// @returns whether a peer has been heard of, over a link that this node opened.
   bool isLinkAlive(const HostID &peer, TimeMs now) const;
   bool allLinksSilent(TimeMs now) const;
@@ -342,6 +358,9 @@
   DocumentReadState DocumentRead;
   std::set<DataCentreName> ReportedEvacuated; ///< In the last event of the time line.
   std::set<std::string> ReportedUnserved;     ///< Services, in the last events of the time line.
+  /// Departures that this node has to keep in the store, by upstream.
+  std::map<UpstreamID, StoredDeparture> Departures;
+  RefusedEntries Refused;
   WatchSchedule Watches;
   ConfigProof Proof;
   std::int64_t ProvedRevision =
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -62,6 +62,7 @@
   bool Root = false;
   bool StoreReachable = false;
   DurationMs ProofAge = 0; ///< Since the configuration was last proved to be the newest; 0: none.
+  std::uint64_t RefusedDocuments = 0; ///< Versions of configurations and orders that were refused.
   DurationMs DocumentAge = 0; ///< Of this node's own knowledge of the store's document; 0: none.
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -8,6 +8,7 @@
 #include "event_util.h"
 #include "platform_environment.h"
 
+#include <absl/strings/escaping.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,16 +26,19 @@
 /// Time in which a change must be in force on all nodes.
 constexpr DurationMs PropagationBound = 2 * MsPerSecond;
 
-/// Runs a control task against a store that answers only lists of the registered roots, or nothing.
+/// Runs a control task against a store that answers only lists of the registered roots and of the
+/// operators' document, or nothing.
 class ListingStore {
 public:
   /// @param roots number of roots of the task's data centre in the list; none: nothing is answered.
   /// @param value value of each entry, in Base64; by default 127.0.0.1:1.
   /// @param hasDocument whether lists of the operators' document are answered.
+  /// @param document items of those lists.
   explicit ListingStore(std::optional<int> roots,
-                        std::string value = "MTI3LjAuMC4xOjE=", bool hasDocument = false)
-      : Roots(roots), Value(std::move(value)), HasDocument(hasDocument), Thread([this] { run(); }) {
-  }
+                        std::string value = "MTI3LjAuMC4xOjE=", bool hasDocument = false,
+                        std::string document = "")
+      : Roots(roots), Value(std::move(value)), HasDocument(hasDocument),
+        Document(std::move(document)), Thread([this] { run(); }) {}
   ~ListingStore() {
     Inbox.put(Drained{});
     Thread.join();
@@ -48,6 +52,29 @@
     return LongestWatch;
   }
 
+  /// @returns the number of refused documents that the task states, once it states any.
+  std::uint64_t refusedDocuments() {
+    for (int n = 0; n < 1000; ++n) {
+      for (const TrafficCommand &command : Traffic.takeAll()) {
+        if (const auto *call = std::get_if<StoreCall>(&command))
+          receive(*call);
+        const auto *figures = std::get_if<ControlFigures>(&command);
+        if (figures != nullptr && figures->RefusedDocuments != 0)
+          return figures->RefusedDocuments;
+      }
+      usleep(5000);
+    }
+    return 0;
+  }
+
+  /// Answers the watch that is waiting.
+  void answerWatch(int status, const std::string &body, std::uint64_t era) {
+    Inbox.put(StoreReply{PendingWatch, true, true, status, body, era});
+  }
+
+  /// Era that later answers to lists state; 0: none.
+  std::uint64_t Era = 0;
+
   /// @returns the paths of the calls made within a time.
   std::vector<std::string> callsWithin(DurationMs time) {
     std::vector<std::string> paths;
@@ -68,16 +95,20 @@
     const bool isRootList = !isDocumentList && call.Call.Path.rfind("/kv-range", 0) == 0;
     if (isDocumentList && HasDocument)
       Inbox.put(StoreReply{call.Number, true, true, 200,
-                           R"({"store_revision":1,"has_more":false,"items":[]})"});
-    if (call.Call.Path.rfind("/kv-watch", 0) == 0)
+                           R"({"store_revision":5,"has_more":false,"items":[)" + Document + "]}",
+                           Era});
+    if (call.Call.Path.rfind("/kv-watch", 0) == 0) {
+      PendingWatch = call.Number;
       LongestWatch = std::max(LongestWatch, call.Timeout);
+    }
     if (isRootList && Roots.has_value()) {
       std::string items;
       for (int n = 0; n < *Roots; ++n)
         items += (n == 0 ? "" : ",") + std::string(R"({"key":")") + RootPrefix + "dc/old" +
                  std::to_string(n) + R"(","value":")" + Value + "\"}";
       Inbox.put(StoreReply{call.Number, true, true, 200,
-                           R"({"store_revision":1,"has_more":false,"items":[)" + items + "]}"});
+                           R"({"store_revision":5,"has_more":false,"items":[)" + items + "]}",
+                           Era});
     }
     return call.Call.Path;
   }
@@ -96,7 +127,9 @@
   std::optional<int> Roots;
   std::string Value;
   bool HasDocument;
+  std::string Document;
   DurationMs LongestWatch = 0;
+  std::uint64_t PendingWatch = 0; ///< Number of the last watch.
   TrafficMailbox Traffic;
   ControlMailbox Inbox;
   std::thread Thread;
@@ -149,6 +182,43 @@
   BOOST_TEST(longest <= PropagationBound);
 }
 
+// Guards against a configuration that is refused without a sign.
+BOOST_AUTO_TEST_CASE(a_document_with_an_odd_object_is_refused_and_counted) {
+  const std::string config =
+      R"({"version":"00000001","services":{"s":{}},"routes":{"r":{"host":"h","prefix":"/",)"
+      R"("kind":"sometimes","service":"s","timeout_ms":1000,"attempts":1}}})";
+  std::string encoded;
+  absl::Base64Escape(config, &encoded);
+  ListingStore store(0, "MTI3LjAuMC4xOjE=", true,
+                     R"({"key":"op/config","revision":1,"value":")" + encoded + "\"}");
+  BOOST_TEST(store.refusedDocuments() == 1U);
+}
+
+struct LostHistoryCase {
+  const char *Name;
+  int Status;
+  const char *Body;
+  std::uint64_t Era;
+};
+
+// Guards against a watch that goes on from a revision which the store has lost and gives out again.
+BOOST_AUTO_TEST_CASE(the_document_is_listed_again_after_the_store_has_lost_history) {
+  const std::vector<LostHistoryCase> cases = {
+      {"a newer era", 200, R"({"store_revision":1,"events":[]})", 2},
+      {"a newer era, revision unknown", 410, "{}", 2},
+      {"compacted", 410, "{}", 1},
+      {"a lower revision of the same era", 200, R"({"store_revision":4,"events":[]})", 1},
+  };
+  for (const LostHistoryCase &it : cases) {
+    ListingStore store(0, "MTI3LjAuMC4xOjE=", true);
+    store.Era = 1;
+    BOOST_TEST(countOf(store.callsWithin(ObservedTime), "/kv-range?prefix=op") == 1, it.Name);
+    store.Era = it.Era;
+    store.answerWatch(it.Status, it.Body, it.Era);
+    BOOST_TEST(countOf(store.callsWithin(ObservedTime / 3), "/kv-range?prefix=op") >= 1, it.Name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(starting_node_registers_only_if_few_roots_are_registered) {
   for (const int roots : {0, 1, 2, 3, 6}) {
     ListingStore store(roots);
