Decide on quotas of workspaces over all nodes

Cause: a workspace may send RatePerSecond and Burst over all nodes together, and no node knew what others had let through.

Each host owns an equal part of every quota. It lends the part, for 1.2 s at a time, to the host that keeps the workspace's shard; the keeper hands out credits that live for 400 ms, against what it holds of the parts. Nobody has to agree on who the keeper is: two of them divide what hosts lend them, and a host that is cut off has its own part back when its loan is over.

Ruled out: a lease in the store for one allocator (no quota could be served while the store is away, or else the lease has to outlast the outage and a dead allocator is replaced that late); fixed slices (skewed demand); an owner on the path of each request; counts that are spread (a burst at each node passes).

--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -30,6 +30,14 @@
 /// machine.
 constexpr DurationMs MinSuspendedTime = 300;
 
+/// @returns whether a host may use its part of the quotas, or may not know yet that it is gone.
+/// @param goneAt when this node learnt that the host is gone; 0: it is not.
+bool holdsQuotaPart(const HostRecord &record, TimeMs goneAt, TimeMs now) {
+  if (record.State != HostState::Gone)
+    return true;
+  return !record.KeysHandedOver && now < goneAt + PartRetention;
+}
+
 } // namespace
 
 class ControlTask::ErrorHandler final : public kj::TaskSet::ErrorHandler {
@@ -289,10 +297,15 @@
   if (!mayServe())
     return;
   std::vector<HostRecord> hosts;
-  Node.hosts().forEach([&hosts](const HostRecord &record, TimeMs) { hosts.push_back(record); });
+  const TimeMs now = steadyClockMs();
+  std::uint32_t quotaHosts = 0;
+  Node.hosts().forEach([&](const HostRecord &record, TimeMs goneAt) {
+    hosts.push_back(record);
+    quotaHosts += holdsQuotaPart(record, goneAt, now) ? 1 : 0;
+  });
   Traffic.put(PublishView{buildRoutingView(
       *Node.config().held(), hosts, Node.progress(), Settings.Identity.DataCentre,
-      static_cast<std::int64_t>(steadyClockMs()) - static_cast<std::int64_t>(wallClockMs()))});
+      static_cast<std::int64_t>(now) - static_cast<std::int64_t>(wallClockMs()), quotaHosts)});
 }
 
 kj::Promise<void> ControlTask::waitForUpdates(const HostID &peer, DurationMs hold) {
--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -8,6 +8,7 @@
 
 #include "platform_environment.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -134,16 +135,25 @@
   return traffic;
 }
 
+/// @returns the CPU of the host, thousandths of a core; 0 if the text is no positive number.
+std::uint32_t capacityOf(const std::string &cores) {
+  double value = 0;
+  const bool valid = absl::SimpleAtod(cores, &value) && value > 0 && value < 1e6;
+  return valid ? static_cast<std::uint32_t>(value * 1000) : 0;
+}
+
 ControlSettings controlSettings(const Settings &values, std::uint64_t incarnation) {
   const std::string &ip = values.text("address");
   ControlSettings control;
   control.RpcAddress = absl::StrCat(ip, ":", values.number("rpc-port"));
   const std::string &advertised = values.text("advertise");
   const std::string &reachableIp = advertised.empty() ? ip : advertised;
-  control.Identity = {HostID(values.text("host")), incarnation,
+  control.Identity = {HostID(values.text("host")),
+                      incarnation,
                       DataCentreName(values.text("data-centre")),
                       absl::StrCat(reachableIp, ":", values.number("rpc-port")),
-                      absl::StrCat(reachableIp, ":", values.number("gate-port"))};
+                      absl::StrCat(reachableIp, ":", values.number("gate-port")),
+                      capacityOf(values.text("capacity"))};
   control.Seeds = values.list("seeds");
   control.Times = MeshTimings::forPropagationBound(milliseconds(values, "in-force-time"));
   control.Tree.Roots = static_cast<std::size_t>(values.number("roots"));
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -30,6 +30,7 @@
   Self.DataCentre = Identity.DataCentre;
   Self.RpcAddress = Identity.RpcAddress;
   Self.GateAddress = Identity.GateAddress;
+  Self.Capacity = Identity.Capacity;
   Hosts.merge(Self, Identity.Host, now);
 }
 
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -94,6 +94,7 @@
   DataCentreName DataCentre;
   std::string RpcAddress;
   std::string GateAddress;
+  std::uint32_t Capacity = 0; ///< See HostRecord.
 };
 
 /// Default time without a message after which a parent declares a child dead.
--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -112,9 +112,15 @@
 
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
-                                const DataCentreName &local, std::int64_t steadyOffset) {
+                                const DataCentreName &local, std::int64_t steadyOffset,
+                                std::uint32_t quotaHosts) {
   auto view = std::make_shared<RoutingView>();
   view->Version = snapshot.Version;
+  view->QuotaHosts = quotaHosts;
+  for (const WorkspaceSpec *spec : workspacesOf(snapshot)) {
+    if (spec->RatePerSecond > 0)
+      view->Quotas.emplace(spec->Name.str(), QuotaLimit{spec->RatePerSecond, spec->Burst});
+  }
   for (const ServiceSpec *spec : servicesOf(snapshot)) {
     ServiceView &service = view->Services[spec->Name.str()];
     service.Name = spec->Name;
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -3,6 +3,7 @@
 
 #include "config/config_type.h"
 #include "mesh/host_type.h"
+#include "quota/quota_type.h"
 #include "rollout/rollout_type.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -56,6 +57,8 @@
   absl::flat_hash_map<std::string, RouteSpec> Routes; ///< By host and prefix.
   absl::flat_hash_map<std::string, ServiceView> Services;
   std::vector<HostRecord> Hosts; ///< Hosts that have announced a service, including gone ones.
+  QuotaLimits Quotas;            ///< Of the workspaces that have one.
+  std::uint32_t QuotaHosts = 0;  ///< Hosts that divide the quotas; see PartRetention.
 
   /// Finds the route with the longest matching prefix; routes of the host take precedence over
   /// those without a host.
@@ -69,9 +72,11 @@
 
 /// Builds the view of one snapshot. Omits only routes with a service that the snapshot lacks.
 /// @param steadyOffset steady clock minus Unix time in ms; converts the times of declared rollouts.
+/// @param quotaHosts see RoutingView::QuotaHosts.
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
-                                const DataCentreName &local, std::int64_t steadyOffset = 0);
+                                const DataCentreName &local, std::int64_t steadyOffset = 0,
+                                std::uint32_t quotaHosts = 0);
 
 /// @returns whether a version may receive the service's traffic: the current version, or the target
 /// of the rollout unless it was rolled back. A service without version and rollout accepts any
--- a/src/traffic/gate_peers.cpp
+++ b/src/traffic/gate_peers.cpp
@@ -223,6 +223,16 @@
   context.GrantedBy.clear();
 }
 
+void GateTask::handlePeerCall(const QuotaAskCall &, const HttpRequest &request) {
+  std::optional<std::string> answer;
+  if (QuotaHandler)
+    answer = QuotaHandler(textOf(request.Body.get()));
+  if (answer.has_value())
+    Server.reply(request.ID, {StatusOk, {}, makeBuffer(*answer)});
+  else
+    Server.reply(request.ID, {StatusBadRequest, {}, nullptr});
+}
+
 void GateTask::handlePeerCall(const CrashReportCall &call, const HttpRequest &request) {
   AdmissionControl.crashes().recordCrash(call.Fingerprint, steadyClockMs());
   Server.reply(request.ID, {StatusOk, {}, nullptr});
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -63,6 +63,10 @@
   /// @param handler invoked when the upstream is not the process at its address any more: another
   /// one refuses a request for it, or its port refuses connections.
   void setAbsentHandler(std::function<void()> handler) { AbsentHandler = std::move(handler); }
+  /// @param handler answers an encoded QuotaAsk; nullopt: it is malformed.
+  void setQuotaHandler(std::function<std::optional<std::string>(const std::string &)> handler) {
+    QuotaHandler = std::move(handler);
+  }
   /// Applies the announcement of the local upstream.
   /// @param address IP:port of the upstream.
   /// @param warmUpLeft remaining warm-up time of the upstream.
@@ -90,6 +94,7 @@
   void handlePeerCall(const ReleaseCall &call, const HttpRequest &request);
   void handlePeerCall(const KeyTransferCall &call, const HttpRequest &request);
   void handlePeerCall(const CrashReportCall &call, const HttpRequest &request);
+  void handlePeerCall(const QuotaAskCall &call, const HttpRequest &request);
   std::vector<std::string> peerGates() const;
   void handleDisconnect(RequestID id);
   void startRequest(RequestContext &context);
@@ -152,6 +157,7 @@
   std::uint32_t CrashChecks = 0; ///< Since the first of CutFingerprints was recorded.
   std::function<void()> LeavingHandler;
   std::function<void()> AbsentHandler;
+  std::function<std::optional<std::string>(const std::string &)> QuotaHandler;
   std::string LeavingProcess; ///< Process whose responses stated that it leaves.
   double LoggedLimit = 0;     ///< Limit in the last event of the time line; 0: none.
   RequestLog Log;
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -136,20 +136,26 @@
   std::uint32_t UpstreamCuts = 0; ///< Attempts that the upstream ended without a complete response.
   bool MayHaveRun = false;        ///< An attempt may have executed the request.
   Refusal LastRefusal = Refusal::NoUpstream;
+  WorkspaceName Workspace;
+  bool AwaitsQuota = false;                   ///< The quota's decision is due.
+  std::optional<QuotaCredit> Credit;          ///< Of the workspace's quota.
   DurationMs RetryAfter = 0;                  ///< Shortest time stated by a gate; 0: none.
   std::optional<HttpResult> FallbackResponse; ///< 5xx response to send if no retry is answered.
 };
 
 IngressTask::IngressTask(event_base *base, const TrafficSettings &settings,
-                         const CallerService &caller, HttpPool &pool, HeldBytes &held,
-                         Metrics &metrics)
-    : Settings(settings), Caller(caller), Pool(pool), Stats(metrics),
+                         const CallerService &caller, HttpPool &pool, QuotaTask &quotas,
+                         HeldBytes &held, Metrics &metrics)
+    : Settings(settings), Caller(caller), Pool(pool), Quotas(quotas), Stats(metrics),
       Server(
           base,
           {settings.MaxBody, settings.MaxHeaderBytes, settings.MaxConnections, ListenerReadTimeout},
           [this](HttpRequest request) { handleRequest(std::move(request)); },
           [this](RequestID id) { handleDisconnect(id); }, &held),
-      Random(settings.Seed), Log("ingress") {}
+      Random(settings.Seed), Log("ingress") {
+  Quotas.setHandler(
+      [this](RequestID id, const QuotaDecision &decision) { handleQuota(id, decision); });
+}
 
 IngressTask::~IngressTask() = default;
 
@@ -193,6 +199,8 @@
       Pool.cancel(context.Call);
       context.MayHaveRun = true;
     }
+    if (context.AwaitsQuota)
+      Quotas.cancel(id, context.Workspace);
     failRequest(context, Refusal::Draining);
   }
 }
@@ -244,10 +252,41 @@
   context.Deadline = now + timeout;
   if (!route->Idempotent)
     context.Key = headerValue(context.Request.Headers, header::Key);
+  if (Quotas.isLimited(context.Workspace)) {
+    context.AwaitsQuota = true;
+    Quotas.request(context.Request.ID, context.Workspace);
+    return;
+  }
+  admit(context);
+}
+
+void IngressTask::admit(RequestContext &context) {
   retryBudgetFor(context.Service).deposit();
   startAttempt(context);
 }
 
+void IngressTask::handleQuota(RequestID id, const QuotaDecision &decision) {
+  const auto it = Contexts.find(id);
+  if (it == Contexts.end())
+    return;
+  RequestContext &context = *it->second;
+  context.AwaitsQuota = false;
+  const auto refuseFor = [this, &context](Refusal reason, DurationMs wait) {
+    Stats.recordQuotaRefusal(context.Workspace, reason);
+    context.RetryAfter = wait;
+    refuse(context, Outcome::NotRun, reason);
+  };
+  std::visit(
+      Overloaded{
+          [&](const QuotaCredit &credit) {
+            context.Credit = credit;
+            admit(context);
+          },
+          [&](const QuotaExceeded &exceeded) { refuseFor(Refusal::OverQuota, exceeded.Wait); },
+          [&](const QuotaUnproved &unproved) { refuseFor(Refusal::QuotaUnknown, unproved.Wait); }},
+      decision);
+}
+
 HttpCall IngressTask::makeGateCall(const RequestContext &context, const Endpoint &endpoint,
                                    TimeMs now) const {
   HttpCall call;
@@ -467,6 +506,8 @@
 }
 
 void IngressTask::refuse(RequestContext &context, Outcome outcome, Refusal reason) {
+  if (outcome == Outcome::NotRun && context.Credit.has_value())
+    Quotas.giveBack(context.Workspace, *context.Credit);
   const TimeMs now = steadyClockMs();
   Stats.recordRequest(context.Route.Name, outcome, reason,
                       static_cast<double>(steadyClockUs() - context.ArrivedAtUs));
@@ -495,6 +536,8 @@
   if (it == Contexts.end())
     return;
   RequestContext &context = *it->second;
+  if (context.AwaitsQuota)
+    Quotas.cancel(id, context.Workspace);
   if (context.Call != 0) {
     Pool.cancel(context.Call);
     EndpointStates.recordDone(context.Host);
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -6,6 +6,7 @@
 #include "traffic/caller_service.h"
 #include "traffic/gate_task.h"
 #include "traffic/metrics.h"
+#include "traffic/quota_task.h"
 #include "traffic/request_log.h"
 #include "traffic/retry_rule.h"
 
@@ -21,7 +22,7 @@
   /// @param caller service that runs on this host.
   /// @param held account of the bytes that the ingress's connections hold.
   IngressTask(event_base *base, const TrafficSettings &settings, const CallerService &caller,
-              HttpPool &pool, HeldBytes &held, Metrics &metrics);
+              HttpPool &pool, QuotaTask &quotas, HeldBytes &held, Metrics &metrics);
   ~IngressTask();
   IngressTask(const IngressTask &) = delete;
   IngressTask &operator=(const IngressTask &) = delete;
@@ -53,6 +54,9 @@
   bool mayAccept(DurationMs timeout, TimeMs now) const;
   void endPending();
   static PlacementRequest placementOf(const RequestContext &context, TimeMs now);
+  /// Sends a request to which the access check, its quota and the drain agree.
+  void admit(RequestContext &context);
+  void handleQuota(RequestID id, const QuotaDecision &decision);
   void startAttempt(RequestContext &context);
   void countNewVersion(const RequestContext &context, const ServiceView &service,
                        const Endpoint &endpoint, TimeMs now);
@@ -72,6 +76,7 @@
   const TrafficSettings &Settings;
   const CallerService &Caller;
   HttpPool &Pool;
+  QuotaTask &Quotas;
   Metrics &Stats;
   HttpServer Server;
   RoutingViewPtr View;
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -103,6 +103,15 @@
   absl::StrAppend(&out, "# TYPE jasmineloom_held_cuts_total counter\n",
                   "jasmineloom_held_cuts_total ", Held.Cuts, "\n");
   addGauge(out, "traffic_longest_stall_ms", LongestStall);
+  addGauge(out, "quota_calls", Quotas.Calls);
+  addGauge(out, "quota_calls_failed", Quotas.FailedCalls);
+  addGauge(out, "quota_calls_answered", Quotas.Answered);
+  addGauge(out, "quota_credits_granted", Quotas.Granted);
+  addGauge(out, "quota_shards_kept", Quotas.KeptShards);
+  absl::StrAppend(&out, "# TYPE jasmineloom_quota_refusals_total counter\n");
+  for (const auto &[key, n] : QuotaRefusals)
+    absl::StrAppend(&out, "jasmineloom_quota_refusals_total{workspace=\"", key.first,
+                    "\",reason=\"", toString(nameOf(key.second)), "\"} ", n, "\n");
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
   addGauge(out, "process_cpu_us", microseconds(usage.ru_utime) + microseconds(usage.ru_stime));
--- a/src/traffic/metrics.h
+++ b/src/traffic/metrics.h
@@ -22,6 +22,15 @@
   std::uint64_t Cuts = 0; ///< Connections cut because of the limit.
 };
 
+/// Quotas of workspaces at this node.
+struct QuotaFigures {
+  std::uint64_t Calls = 0;       ///< To keepers.
+  std::uint64_t FailedCalls = 0; ///< Without an answer.
+  std::uint64_t Answered = 0;    ///< Calls of other nodes answered, as a keeper.
+  std::uint64_t Granted = 0;     ///< Credits handed out, as a keeper.
+  std::uint32_t KeptShards = 0;  ///< Shards of which this node holds loans.
+};
+
 /// Latency quantiles published for each route.
 constexpr std::array<double, 3> PublishedQuantiles = {0.5, 0.9, 0.99};
 
@@ -48,6 +57,13 @@
   /// @param longest longest lateness of the traffic task's event loop.
   void setLongestStall(DurationMs longest) { LongestStall = longest; }
 
+  /// Counts a request that was refused because of its workspace's quota.
+  /// @param reason OverQuota or QuotaUnknown.
+  void recordQuotaRefusal(const WorkspaceName &workspace, Refusal reason) {
+    ++QuotaRefusals[{workspace.str(), reason}];
+  }
+  void setQuotaFigures(const QuotaFigures &figures) { Quotas = figures; }
+
   void setHeldBytes(const HeldFigures &figures) { Held = figures; }
 
   /// @returns all metrics in the Prometheus text format.
@@ -76,6 +92,8 @@
   double UpstreamLimit = 0;
   DurationMs LongestStall = 0;
   HeldFigures Held;
+  QuotaFigures Quotas;
+  std::map<std::pair<std::string, Refusal>, std::uint64_t> QuotaRefusals; ///< By workspace.
   ControlFigures Control;
 };
 
--- a/src/traffic/peer_call.h
+++ b/src/traffic/peer_call.h
@@ -13,6 +13,7 @@
 constexpr const char *ReleasePath = "/.jasmineloom/release/";
 constexpr const char *CrashPath = "/.jasmineloom/crash/";
 constexpr const char *KeysPath = "/.jasmineloom/keys";
+constexpr const char *QuotaPath = "/.jasmineloom/quota";
 
 /// Claims an idempotency key, given as its hash.
 struct ClaimCall {
@@ -33,12 +34,16 @@
 struct KeyTransferCall {
   auto operator<=>(const KeyTransferCall &) const = default;
 };
+/// Asks this host, as a keeper, for credits of quotas; the request's body is a QuotaAsk.
+struct QuotaAskCall {
+  auto operator<=>(const QuotaAskCall &) const = default;
+};
 /// A path that names no call, or a call without a valid number.
 struct InvalidPeerCall {
   auto operator<=>(const InvalidPeerCall &) const = default;
 };
-using PeerCall =
-    std::variant<ClaimCall, ReleaseCall, CrashReportCall, KeyTransferCall, InvalidPeerCall>;
+using PeerCall = std::variant<ClaimCall, ReleaseCall, CrashReportCall, KeyTransferCall,
+                              QuotaAskCall, InvalidPeerCall>;
 
 PeerCall parsePeerCall(std::string_view path);
 
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -58,6 +58,7 @@
       Base(makeTrafficBase()), WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
       Held(Settings.MaxHeld), Pool(Base.get(), Settings.MaxBody, &Held),
       StorePool(Base.get(), MaxStoreResponseBytes, &Held),
+      Quotas(Base.get(), Settings, Pool, Stats, Control),
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
       StopTimer(Base.get(), [this] { advanceStop(); }),
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
@@ -79,8 +80,9 @@
   });
   LocalGate = std::make_unique<GateTask>(Base.get(), Settings, Pool, Held, Stats, Control);
   LocalGate->setLeavingHandler([this] { handleLeaving(); });
+  LocalGate->setQuotaHandler([this](const std::string &ask) { return Quotas.answer(ask); });
   LocalGate->setAbsentHandler([this] { AnnouncedUpstream.markAbsent(); });
-  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Held, Stats);
+  Ingress = std::make_unique<IngressTask>(Base.get(), Settings, Caller, Pool, Quotas, Held, Stats);
   ManagementServer.reset(evhttp_new(Base.get()));
   evhttp_set_allowed_methods(ManagementServer.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
                                                          EVHTTP_REQ_POST | EVHTTP_REQ_DELETE |
@@ -132,6 +134,7 @@
 
 void TrafficTask::handle(PublishView &message) {
   Ready = true;
+  Quotas.setView(message.View);
   LocalGate->setView(message.View);
   Ingress->setView(message.View, steadyClockMs());
 }
@@ -249,6 +252,7 @@
   if (step.CloseGate && !GateClosed) {
     GateClosed = true;
     LocalGate->beginDrain();
+    Quotas.beginDrain();
     Control.put(GateClosing{});
   }
   if (step.CloseIngress)
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -7,6 +7,7 @@
 #include "traffic/caller_service.h"
 #include "traffic/gate_task.h"
 #include "traffic/ingress_task.h"
+#include "traffic/quota_task.h"
 
 #include <event2/http.h>
 
@@ -118,6 +119,7 @@
   HttpPool Pool;
   HttpPool StorePool;
   std::unique_ptr<GateTask> LocalGate;
+  QuotaTask Quotas;
   std::unique_ptr<IngressTask> Ingress;
   std::unique_ptr<evhttp, HttpDeleter> ManagementServer;
   evhttp_connection *WatchConnection = nullptr;
