--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -303,9 +303,14 @@
     hosts.push_back(record);
     quotaHosts += holdsQuotaPart(record, goneAt, now) ? 1 : 0;
   });
-  Traffic.put(PublishView{buildRoutingView(
-      *Node.config().held(), hosts, Node.progress(), Settings.Identity.DataCentre,
-      static_cast<std::int64_t>(now) - static_cast<std::int64_t>(wallClockMs()), quotaHosts)});
+  const SnapshotPtr &held = Node.config().held();
+  if (!Workspaces || PublishedVersion != held->Version)
+    Workspaces = workspaceTableOf(*held);
+  PublishedVersion = held->Version;
+  Traffic.put(PublishView{
+      buildRoutingView(*held, hosts, Node.progress(), Settings.Identity.DataCentre,
+                       static_cast<std::int64_t>(now) - static_cast<std::int64_t>(wallClockMs()),
+                       Workspaces, quotaHosts)});
 }
 
 kj::Promise<void> ControlTask::waitForUpdates(const HostID &peer, DurationMs hold) {
--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -113,9 +113,10 @@
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
                                 const DataCentreName &local, std::int64_t steadyOffset,
-                                std::uint32_t quotaHosts) {
+                                WorkspaceTablePtr workspaces, std::uint32_t quotaHosts) {
   auto view = std::make_shared<RoutingView>();
   view->Version = snapshot.Version;
+  view->Workspaces = workspaces ? std::move(workspaces) : workspaceTableOf(snapshot);
   view->QuotaHosts = quotaHosts;
   for (const WorkspaceSpec *spec : workspacesOf(snapshot)) {
     if (spec->RatePerSecond > 0)
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -5,6 +5,7 @@
 #include "mesh/host_type.h"
 #include "quota/quota_type.h"
 #include "rollout/rollout_type.h"
+#include "workspace/workspace_table.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -56,6 +57,7 @@
   ConfigVersion Version = 0;
   absl::flat_hash_map<std::string, RouteSpec> Routes; ///< By host and prefix.
   absl::flat_hash_map<std::string, ServiceView> Services;
+  WorkspaceTablePtr Workspaces = std::make_shared<const WorkspaceTable>(); ///< Never null.
   std::vector<HostRecord> Hosts; ///< Hosts that have announced a service, including gone ones.
   QuotaLimits Quotas;            ///< Of the workspaces that have one.
   std::uint32_t QuotaHosts = 0;  ///< Hosts that divide the quotas; see PartRetention.
@@ -72,10 +74,12 @@
 
 /// Builds the view of one snapshot. Omits only routes with a service that the snapshot lacks.
 /// @param steadyOffset steady clock minus Unix time in ms; converts the times of declared rollouts.
+/// @param workspaces those of the snapshot; null: they are read from it.
 /// @param quotaHosts see RoutingView::QuotaHosts.
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
                                 const DataCentreName &local, std::int64_t steadyOffset = 0,
+                                WorkspaceTablePtr workspaces = nullptr,
                                 std::uint32_t quotaHosts = 0);
 
 /// @returns whether a version may receive the service's traffic: the current version, or the target
