--- a/src/quota/quota_codec.cpp
+++ b/src/quota/quota_codec.cpp
@@ -101,7 +101,7 @@
   if (fields.empty() || !absl::SimpleAtoi(fields[0], &answer.Hosts) ||
       !absl::SimpleAtoi(fields[1], &answer.Stamp.Incarnation) ||
       !absl::SimpleAtoi(fields[2], &answer.Stamp.At) || !absl::SimpleAtoi(fields[3], &holds) ||
-      !absl::SimpleAtoi(fields[4], &answer.LentPerMille))
+      !absl::SimpleAtoi(fields[4], &answer.LentPerMille) || answer.Stamp.Incarnation == 0)
     return std::nullopt;
   answer.Holds = holds != 0;
   for (std::size_t n = 1; n < lines.size(); ++n) {
--- a/src/traffic/quota_task.cpp
+++ b/src/traffic/quota_task.cpp
@@ -3,6 +3,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace jasmineloom {
 
 namespace {
@@ -33,7 +35,7 @@
   const TimeMs now = bootClockMs();
   for (std::uint32_t shard = 0; shard < QuotaShards; ++shard) {
     Shares.emplace_back(settings.Host, shard, now);
-    Keepers.emplace_back(settings.Incarnation, now);
+    Keepers.emplace_back(std::max<std::uint64_t>(settings.Incarnation, 1), now);
   }
 }
 
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -363,5 +363,7 @@
   BOOST_TEST((decodeAnswer(encodeAnswer(answer)) == answer));
   for (const char *text : {"", "1 2 3", "1 2 x 4 1 node", "0 1 1 1 1 node\n1 2"})
     BOOST_TEST(!decodeAsk(text).has_value(), text);
-  BOOST_TEST(!decodeAnswer("1 1 1 1 1\n-1 2 w").has_value());
+  // A stamp without an incarnation would be asked for again at once.
+  for (const char *text : {"1 1 1 1 1\n-1 2 w", "1 0 1 1 1"})
+    BOOST_TEST(!decodeAnswer(text).has_value(), text);
 }
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -390,6 +390,55 @@
     close(fd);
 }
 
+/// @returns a view in which /x needs the key k1 of a workspace with a quota, kept by \p keeper.
+std::shared_ptr<RoutingView> viewWithQuota(const char *keeper, std::uint16_t keeperPort) {
+  std::shared_ptr<RoutingView> view = viewOfOneGate();
+  view->Routes.at("/x").NeedsKey = true;
+  WorkspaceSpec workspace;
+  workspace.Name = WorkspaceName("big");
+  workspace.Keys = {digestOfKey("k1")};
+  view->Workspaces = std::make_shared<const WorkspaceTable>(
+      std::vector{static_cast<const WorkspaceSpec *>(&workspace)});
+  view->Quotas["big"] = {1, 1};
+  view->QuotaHosts = 1;
+  HostRecord record;
+  record.Host = HostID(keeper);
+  record.GateAddress = absl::StrCat("127.0.0.1:", keeperPort);
+  record.State = HostState::Ready;
+  view->Hosts = {record};
+  return view;
+}
+
+// Beyond its quota a workspace's request is refused and not sent; without a keeper at once as well.
+BOOST_AUTO_TEST_CASE(requests_beyond_a_quota_are_not_sent) {
+  PlatformTask task;
+  const int gate = listenOn(UpstreamPort);
+  const char *request = "GET /x HTTP/1.1\r\nHost: x\r\nAuthorization: Token k1\r\n\r\n";
+  task.Inbox.put(PublishView{viewWithQuota("h1", GatePort)});
+  usleep(2500000); // The bucket fills with one request in a second.
+  const int first = connectToIngress();
+  sendText(first, request);
+  BOOST_REQUIRE(isConnected(gate, 2000));
+  const int connection = accept(gate, nullptr, nullptr);
+  const int second = connectToIngress();
+  sendText(second, request);
+  const std::string refused = readHead(second);
+  BOOST_TEST(refused.find("HTTP/1.1 429 ") == 0U, refused);
+  BOOST_TEST(absl::StrContains(absl::AsciiStrToLower(refused), "retry-after"), refused);
+  BOOST_TEST(absl::StrContains(refused, "not-run"), refused);
+  // Nothing listens at the address of the new keeper.
+  task.Inbox.put(PublishView{viewWithQuota("h3", 1)});
+  usleep(300000);
+  const int third = connectToIngress();
+  sendText(third, request);
+  const std::string unknown = readHead(third);
+  BOOST_TEST(unknown.find("HTTP/1.1 503 ") == 0U, unknown);
+  BOOST_TEST(absl::StrContains(unknown, "quota-unknown"), unknown);
+  BOOST_TEST(!isConnected(gate, 100));
+  for (const int fd : {first, connection, second, third, gate})
+    close(fd);
+}
+
 // Guards against a departure that is acknowledged while only this process knows of it.
 BOOST_AUTO_TEST_CASE(departure_is_acknowledged_once_it_is_recorded_or_its_time_is_up) {
   PlatformTask task({.RecordsDepartures = true});
