Keep hosts whose upstream drains as keepers, and ask less for a quota that is used up

Change: any host that is not gone may keep a shard; one whose process ends declines, and is passed over for 10 s. A workspace without credit is asked for again after 100 to 200 ms. If all keepers are passed over they are tried in turn, one a renewal period.

--- a/src/quota/quota_share.cpp
+++ b/src/quota/quota_share.cpp
@@ -20,7 +20,7 @@
 /// Period in which a loan is renewed; two renewals may fail before it ends.
 constexpr DurationMs RenewalPeriod = LoanTime / 3;
 /// Time for which a keeper that did not answer is passed over.
-constexpr DurationMs UnreachableTime = 2 * MsPerSecond;
+constexpr DurationMs UnreachableTime = 10 * MsPerSecond;
 /// Calls that may fail in a row before the keeper is passed over.
 constexpr std::uint32_t MaxFailures = 2;
 /// Time of expected requests for which credits are asked ahead.
@@ -32,8 +32,8 @@
 /// earlier process may have lent the part.
 constexpr DurationMs OwnPartDelay = 5 * MsPerSecond;
 /// Bounds of the time in which a keeper that had no credit is not asked again.
-constexpr DurationMs MinEmptyTime = 50;
-constexpr DurationMs MaxEmptyTime = 100;
+constexpr DurationMs MinEmptyTime = 100;
+constexpr DurationMs MaxEmptyTime = 200;
 /// Below this, the keeper does not know that a quota is used up: others hold parts of it.
 constexpr std::uint32_t MinProvedPerMille = 500;
 /// Time until a node without a keeper has probably found one.
@@ -76,12 +76,18 @@
 }
 
 const QuotaPeer *QuotaShare::preferred(TimeMs now) const {
+  const QuotaPeer *soonest = nullptr;
+  TimeMs soonestAt = std::numeric_limits<TimeMs>::max();
   for (const QuotaPeer &keeper : Keepers) {
     const auto it = UnreachableUntil.find(keeper.Host);
     if (it == UnreachableUntil.end() || it->second <= now)
       return &keeper;
+    if (it->second >= soonestAt)
+      continue;
+    soonest = &keeper;
+    soonestAt = it->second;
   }
-  return nullptr;
+  return soonest;
 }
 
 QuotaUnproved QuotaShare::unproved(TimeMs now) const {
@@ -187,8 +193,9 @@
       CallWanted || now >= NextRenewal || std::any_of(Workspaces.begin(), Workspaces.end(), waits);
   if (!due)
     return std::nullopt;
-  const bool lentElsewhere =
-      now < LentUntil && LentTo.Host != target->Host && !UnreachableUntil.contains(LentTo.Host);
+  const auto passedOver = UnreachableUntil.find(LentTo.Host);
+  const bool lentElsewhere = now < LentUntil && LentTo.Host != target->Host &&
+                             (passedOver == UnreachableUntil.end() || passedOver->second <= now);
   Returning = lentElsewhere;
   const QuotaPeer peer = lentElsewhere ? LentTo : *target;
   QuotaCall call{peer, {}};
@@ -237,7 +244,7 @@
     // The keeper takes no loans any more.
     UnreachableUntil[Current.Host] = now + UnreachableTime;
     Reachable = false;
-    NextRenewal = now;
+    scheduleRenewal(now);
   }
   std::vector<QuotaSettled> settled;
   const auto settle = [&settled](Workspace &workspace, QuotaDecision decision) {
@@ -286,14 +293,22 @@
   return settled;
 }
 
+void QuotaShare::scheduleRenewal(TimeMs now) {
+  const QuotaPeer *next = preferred(now);
+  const auto it = next == nullptr ? UnreachableUntil.end() : UnreachableUntil.find(next->Host);
+  // If no keeper is left, they are tried in turn.
+  const bool noneLeft = it != UnreachableUntil.end() && it->second > now;
+  NextRenewal = noneLeft ? now + RenewalPeriod : now;
+}
+
 std::vector<QuotaSettled> QuotaShare::fail(bool refused, TimeMs now) {
   Open = false;
   Answered = false;
-  NextRenewal = now;
   if (Returning || refused || ++Failures >= MaxFailures) {
     UnreachableUntil[Current.Host] = now + UnreachableTime;
     Failures = 0;
   }
+  scheduleRenewal(now);
   if (Returning)
     return {};
   Reachable = false;
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -95,6 +95,8 @@
   std::vector<QuotaNeed> collectNeeds(TimeMs now);
   std::vector<QuotaSettled> refuseWaiting(TimeMs now);
   void forgetIdle(TimeMs now);
+  /// After a failure: the next keeper is called at once.
+  void scheduleRenewal(TimeMs now);
 
   HostID Self;
   std::uint32_t Shard;
--- a/src/traffic/quota_task.cpp
+++ b/src/traffic/quota_task.cpp
@@ -20,7 +20,8 @@
 std::vector<QuotaCandidate> candidatesOf(const RoutingView &view) {
   std::vector<QuotaCandidate> candidates;
   for (const HostRecord &record : view.Hosts) {
-    if (record.State == HostState::Starting || record.State == HostState::Ready)
+    // A host whose upstream drains goes on as a keeper; one that ends itself takes no loans.
+    if (record.State != HostState::Gone)
       candidates.push_back({{record.Host, record.GateAddress}, record.Capacity});
   }
   return candidates;
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -247,6 +247,27 @@
   BOOST_TEST(lendsAt(Start + LoanTime + 500, nameOf(1)));
 }
 
+// Failure: the only keeper takes no loans any more. It is not asked again at once.
+BOOST_AUTO_TEST_CASE(a_keeper_that_declines_is_left_alone) {
+  QuotaShare share(nameOf(0), 0, Start);
+  QuotaKeeper keeper(1, Start);
+  share.setPeers({{nameOf(0), ""}}, 1, Start);
+  int calls = 0;
+  const auto callAll = [&](TimeMs at) {
+    for (; calls < 100; ++calls) {
+      const std::optional<QuotaCall> call = share.nextCall(at);
+      if (!call.has_value())
+        break;
+      share.receive(keeper.answer(call->Ask, {}, 1, at), at);
+    }
+  };
+  callAll(Start);
+  BOOST_TEST(calls == 2);
+  keeper.close(Start + 1);
+  callAll(Start + 500);
+  BOOST_TEST(calls == 3);
+}
+
 // Failure: the only keeper dies. The node's part comes back empty when the loan is over.
 BOOST_AUTO_TEST_CASE(a_part_comes_back_empty) {
   const TimeMs lent = Start + WarmUp;
