--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -115,11 +115,17 @@
                                 const std::map<RolloutID, RolloutProgress> &progress,
                                 const DataCentreName &local, std::int64_t steadyOffset,
                                 WorkspaceTablePtr workspaces,
-                                const std::set<DataCentreName> &evacuated) {
+                                const std::set<DataCentreName> &evacuated,
+                                std::uint32_t quotaHosts) {
   auto view = std::make_shared<RoutingView>();
   view->Version = snapshot.Version;
   view->Evacuated = evacuated;
   view->Workspaces = workspaces ? std::move(workspaces) : workspaceTableOf(snapshot);
+  view->QuotaHosts = quotaHosts;
+  for (const WorkspaceSpec *spec : workspacesOf(snapshot)) {
+    if (spec->RatePerSecond > 0)
+      view->Quotas.emplace(spec->Name.str(), QuotaLimit{spec->RatePerSecond, spec->Burst});
+  }
   for (const ServiceSpec *spec : servicesOf(snapshot)) {
     ServiceView &service = view->Services[spec->Name.str()];
     service.Name = spec->Name;
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -3,6 +3,7 @@
 
 #include "config/config_type.h"
 #include "mesh/host_type.h"
+#include "quota/quota_type.h"
 #include "rollout/rollout_type.h"
 #include "workspace/workspace_table.h"
 
@@ -69,7 +70,9 @@
   absl::flat_hash_map<std::string, ServiceView> Services;
   WorkspaceTablePtr Workspaces = std::make_shared<const WorkspaceTable>(); ///< Never null.
   std::set<DataCentreName> Evacuated; ///< Nothing is sent to the upstreams there.
-  std::vector<HostRecord> Hosts;      ///< Hosts that have announced a service, including gone ones.
+  std::vector<HostRecord> Hosts; ///< Hosts that have announced a service, including gone ones.
+  QuotaLimits Quotas;            ///< Of the workspaces that have one.
+  std::uint32_t QuotaHosts = 0;  ///< Hosts that divide the quotas; see PartRetention.
 
   /// Finds the route with the longest matching prefix; routes of the host take precedence over
   /// those without a host.
@@ -86,11 +89,13 @@
 /// @param workspaces those of the snapshot; null: they are read from it.
 /// @param evacuated data centres whose upstreams get nothing: they are no endpoints, but count
 /// where the versions of a service are counted, as for all nodes and before the evacuation.
+/// @param quotaHosts see RoutingView::QuotaHosts.
 RoutingViewPtr buildRoutingView(const Snapshot &snapshot, const std::vector<HostRecord> &hosts,
                                 const std::map<RolloutID, RolloutProgress> &progress,
                                 const DataCentreName &local, std::int64_t steadyOffset = 0,
                                 WorkspaceTablePtr workspaces = nullptr,
-                                const std::set<DataCentreName> &evacuated = {});
+                                const std::set<DataCentreName> &evacuated = {},
+                                std::uint32_t quotaHosts = 0);
 
 /// @returns whether a version may receive the service's traffic: the current version, or the target
 /// of the rollout unless it was rolled back. A service without version and rollout accepts any
