--- a/tools/load_experiment.cpp
+++ b/tools/load_experiment.cpp
@@ -130,6 +130,9 @@
   from.integer("hosts", 1, 20000, service.Hosts);
   from.integer("slots", 1, 10000, service.Slots);
   from.numbers("speeds", 0.01, 100, service.Speeds);
+  from.number("noise-share", 0, 1, service.NoiseShare);
+  from.number("noise-factor", 1, 100, service.NoiseFactor);
+  from.number("noise-period-ms", 1, MaxMs, service.NoisePeriodMs);
   return service;
 }
 
@@ -148,6 +151,7 @@
   from.integer("call-times", 0, 20, route.CallTimes);
   from.number("call-share", 0, 1, route.CallShare);
   from.integer("retries", 0, 10, route.Retries);
+  from.number("late-share", 0, 1, route.LateShare);
   return route;
 }
 
@@ -221,6 +225,8 @@
   reader.number("full-slowdown", 0, 10, settings.FullSlowdown);
   reader.number("seconds", 1, 86400, settings.Seconds);
   reader.number("warm-up-seconds", 0, 86400, settings.WarmUpSeconds);
+  reader.number("wave-swing", 0, 1, settings.WaveSwing);
+  reader.number("wave-seconds", 1, 86400, settings.WaveSeconds);
   reader.tables("service",
                 [&settings](TableReader &it) { settings.Services.push_back(readService(it)); });
   reader.tables("route",
--- a/tools/load_model.cpp
+++ b/tools/load_model.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <map>
 #include <memory>
+#include <numbers>
 #include <queue>
 #include <random>
 
@@ -43,6 +44,8 @@
   std::uint32_t DataCentre = 0;
   double Speed = 1;
   double SlowFactor = 1;
+  double NoiseFactor = 1;
+  TimeUs NoiseUntil = 0;
   double ShedShare = 0;
   TimeUs ColdUntil = 0;
   bool Gone = false;
@@ -71,6 +74,7 @@
   std::uint32_t Executions = 0;
   std::uint32_t CallerRetries = 0;
   std::uint32_t CallsLeft = 0;
+  bool CallFailed = false;
   DurationMs RetryAfter = 0;
   TimeUs StartedAt = 0; ///< At the upstream.
   /// Called once with the final result at the ingress.
@@ -238,8 +242,11 @@
   // --- Callers ---
 
   void scheduleArrival(const ModelRoute &route) {
+    const double seconds = static_cast<double>(Now - Epoch) / UsPerSecond;
+    const double wave =
+        1 + Settings.WaveSwing * std::sin(2 * std::numbers::pi * seconds / Settings.WaveSeconds);
     const double gapMs =
-        std::exponential_distribution<>(route.PerSecond * LoadFactor / MsPerSecond)(Random);
+        std::exponential_distribution<>(route.PerSecond * LoadFactor * wave / MsPerSecond)(Random);
     const TimeUs time = Now + toUs(gapMs);
     if (time >= Epoch + static_cast<TimeUs>(Settings.Seconds * UsPerSecond))
       return;
@@ -299,6 +306,8 @@
     count(Result.Total, route, result, elapsedMs);
     WorthSent += route.Worth;
     if (result == AttemptResult::Answered) {
+      const bool late = elapsedMs > static_cast<double>(route.Objective);
+      WorthEarned += route.Worth * (late ? route.LateShare : 1);
       Latencies[index].push_back(elapsedMs);
       WorthInTime += elapsedMs <= static_cast<double>(route.Objective) ? route.Worth : 0;
     } else if (result == AttemptResult::NotRun) {
@@ -371,10 +380,22 @@
     return Hosts[std::stoul(endpoint.Host.str().substr(1))].get();
   }
 
-  double serviceFactor(const Host &host) const {
+  /// @returns the present increase of a host's service time by other work on it.
+  double noiseFactor(Host &host) {
+    const ModelService &service = Settings.Services[host.Service];
+    if (service.NoiseShare == 0)
+      return 1;
+    if (Now >= host.NoiseUntil) {
+      host.NoiseUntil = Now + toUs(service.NoisePeriodMs * 2 * uniform());
+      host.NoiseFactor = uniform() < service.NoiseShare ? service.NoiseFactor : 1;
+    }
+    return host.NoiseFactor;
+  }
+
+  double serviceFactor(Host &host) {
     const double use = static_cast<double>(host.Admission.inFlight()) /
                        static_cast<double>(Settings.Services[host.Service].Slots);
-    return host.SlowFactor * (Now < host.ColdUntil ? ColdFactor : 1) / host.Speed *
+    return host.SlowFactor * noiseFactor(host) * (Now < host.ColdUntil ? ColdFactor : 1) / host.Speed *
            (1 + Settings.FullSlowdown * use * use);
   }
 
@@ -532,6 +553,7 @@
       Result.RepeatedUnsafe += route.Idempotent ? 0 : 1;
     }
     request->StartedAt = Now;
+    request->CallFailed = false;
     request->CallsLeft = !route.Calls.empty() && uniform() < route.CallShare ? route.CallTimes : 0;
     // The mean of a lognormal variable is exp(mu + sigma^2 / 2).
     const double mu = std::log(route.WorkMs) - route.Spread * route.Spread / 2;
@@ -552,8 +574,10 @@
         std::min(request->Deadline, Now + toUs(static_cast<double>(route.Deadline)));
     const RequestPtr call = makeRequest(route, host, deadline);
     call->Done = [this, &host, ticket, request](AttemptResult result) {
-      if (result != AttemptResult::Answered)
+      if (result != AttemptResult::Answered) {
         request->CallsLeft = 0;
+        request->CallFailed = true;
+      }
       callNext(host, ticket, request);
     };
     startAttempt(call);
@@ -574,7 +598,7 @@
     }
     after(delayMs(*request), [this, request, report] {
       receiveReport(*request, report);
-      finish(*request, AttemptResult::Answered);
+      finish(*request, request->CallFailed ? AttemptResult::Unknown : AttemptResult::Answered);
     });
   }
 
@@ -592,6 +616,7 @@
     for (auto &[index, counts] : ByRoute)
       Result.Routes.push_back({Settings.Routes[index].Name, counts, quantile(Latencies[index], 0.5),
                                quantile(Latencies[index], 0.99), quantile(Refusals[index], 0.5)});
+    Result.WorthEarned = WorthSent == 0 ? 1 : WorthEarned / WorthSent;
     Result.WorthInTime = WorthSent == 0 ? 1 : WorthInTime / WorthSent;
     double used = 0;
     double slots = 0;
@@ -626,6 +651,7 @@
   std::vector<std::vector<double>> Refusals;  ///< Time until a refusal in ms, by route.
   double WorthSent = 0;
   double WorthInTime = 0;
+  double WorthEarned = 0;
 };
 
 } // namespace
--- a/tools/load_model.h
+++ b/tools/load_model.h
@@ -17,6 +17,9 @@
   std::uint32_t Hosts = 1;
   std::uint32_t Slots = 10;
   std::vector<double> Speeds = {1}; ///< Of the hosts, in turn; 1: the route's work as stated.
+  double NoiseShare = 0;            ///< Fraction of time in which other work slows a host down.
+  double NoiseFactor = 1;           ///< Increase of the service time by that work.
+  double NoisePeriodMs = 600;       ///< Time after which the slowed hosts are drawn anew.
   bool operator==(const ModelService &) const = default;
 };
 
@@ -35,6 +38,7 @@
   std::uint32_t CallTimes = 0;
   double CallShare = 1;      ///< Fraction of the requests that make these calls.
   std::uint32_t Retries = 0; ///< Of a caller that was refused.
+  double LateShare = 0.3;    ///< Fraction of its worth that a late answer has.
   bool operator==(const ModelRoute &) const = default;
 };
 
@@ -71,6 +75,9 @@
   double FullSlowdown = 0.5;
   double Seconds = 30;
   double WarmUpSeconds = 0; ///< Requests before this time are not counted.
+  /// Callers send from 1 - WaveSwing to 1 + WaveSwing times their rate.
+  double WaveSwing = 0;
+  double WaveSeconds = 13;
   std::uint64_t Seed = 1;
   ModelPlacement Placement = ModelPlacement::Product;
   std::vector<ModelService> Services;
@@ -114,6 +121,7 @@
   std::uint64_t RepeatedUnsafe = 0;
   double WorthInTime =
       0;              ///< Worth of the requests answered within their objective, per worth sent.
+  double WorthEarned = 0; ///< The same with late answers at their routes' LateShare.
   double SlotUse = 0; ///< Mean share of slots in use.
   double BusiestOverMean = 0; ///< Slot use of the busiest upstream of the first service.
   bool operator==(const ModelResult &) const = default;
