--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace jasmineloom {
 
@@ -80,6 +81,9 @@
     LimitStated = false;
     MeanServiceMs = 0;
     RouteServiceMs.clear();
+    Pace = 0;
+    MeanPace = 0;
+    PaceAt = 0;
     FailureShare = 0;
   }
   Upstream = upstream;
@@ -195,6 +199,27 @@
   mean = movingAverage(mean, sample);
 }
 
+std::size_t Gate::queueCapacity() const {
+  const double perSlot =
+      std::max(MinQueuePerSlot, QueuePerSlot / static_cast<double>(ServiceHosts));
+  const double waiting = std::max(perSlot * Upstream.Slots, MinQueueCapacity);
+  return static_cast<std::size_t>(std::ceil(std::min(waiting, QueuePerSlot * Upstream.Slots)));
+}
+
+void Gate::recordPace(std::uint32_t percent, TimeMs now) {
+  if (percent == 0)
+    return;
+  Pace = percent;
+  PaceAt = now;
+  MeanPace = MeanPace == 0 ? Pace : MeanPace + PaceSmoothing * (Pace - MeanPace);
+}
+
+double Gate::presentServiceMs(TimeMs now) const {
+  if (MeanPace == 0 || now >= PaceAt + PaceLifetime)
+    return MeanServiceMs;
+  return MeanServiceMs * Pace / MeanPace;
+}
+
 double Gate::meanServiceMs(const RouteName &route) const {
   const auto it = RouteServiceMs.find(route);
   return it == RouteServiceMs.end() ? MeanServiceMs : it->second;
@@ -250,7 +275,7 @@
   if (missesDeadline(request, wait, now) || !acceptsLate(request, wait, now))
     return {Admission::Refused, Refusal::Overloaded, std::nullopt, retryAfter};
   AdmissionResult result{Admission::Queued, Refusal::None, std::nullopt, retryAfter};
-  if (Queue.size() >= std::size_t{Upstream.Slots} * QueuePerSlot) {
+  if (Queue.size() >= queueCapacity()) {
     // Evict the lowest rank; among equal ranks the latest arrival.
     const std::vector<QueueRank> waiting = ranks(now);
     const auto least = std::min_element(
--- a/src/admission/gate_base.h
+++ b/src/admission/gate_base.h
@@ -4,6 +4,7 @@
 #include "admission/request_limit.h"
 #include "routing/outcome_type.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -84,8 +85,13 @@
   bool operator==(const DequeueResult &) const = default;
 };
 
-/// Queued requests per slot.
-constexpr std::uint32_t QueuePerSlot = 2;
+/// Queued requests per slot of a service, shared by the gates of its hosts.
+constexpr double QueuePerSlot = 2;
+/// Queued requests per slot of a gate with many others beside it: enough to keep the slots in use
+/// until the next request arrives. What waits longer would start sooner at another gate.
+constexpr double MinQueuePerSlot = 0.25;
+/// Queued requests of a gate with few slots: one of them may leave before a slot is free.
+constexpr double MinQueueCapacity = 2;
 /// Queued requests per slot that will miss their objective: enough to use slots that would
 /// otherwise be idle.
 constexpr double LateQueuePerSlot = 0.5;
@@ -94,6 +100,10 @@
 /// Time after the last crash for which a fingerprint stays suspect or quarantined.
 constexpr DurationMs QuarantineTime = 60 * MsPerSecond;
 constexpr std::size_t MaxFingerprints = 4096;
+/// Age at which the pace that an upstream states says nothing of its present one.
+constexpr DurationMs PaceLifetime = 500;
+/// Weight of a new sample in the moving average of paces.
+constexpr double PaceSmoothing = 0.02;
 
 /// Weight of a new sample in the moving average of service times.
 constexpr double ServiceTimeSmoothing = 0.1;
@@ -132,6 +142,10 @@
   /// at the earlier one, and without its service times, failures and limit. Queued requests that it
   /// may not run leave the queue with the next tick().
   void setUpstream(const LocalUpstream &upstream);
+  /// Sets the number of hosts of the upstream's service, which share its queue.
+  void setServiceHosts(std::size_t hosts) { ServiceHosts = std::max<std::size_t>(hosts, 1); }
+  /// @returns the number of requests that may wait at once.
+  std::size_t queueCapacity() const;
   /// While draining, new requests are refused and queued ones still run.
   void setDraining(bool draining) { Draining = draining; }
   /// Refuses new requests while the upstream's version is rolled back.
@@ -172,6 +186,11 @@
   double meanServiceMs(const RouteName &route) const;
   /// @returns the mean service time of all routes in ms; 0: no sample.
   double meanServiceMs() const { return MeanServiceMs; }
+  /// Records the time that work takes at present, as the upstream states it.
+  /// @param percent of the usual time; 0 is ignored.
+  void recordPace(std::uint32_t percent, TimeMs now);
+  /// @returns the service time to expect now, ms: the mean, corrected by a recent pace.
+  double presentServiceMs(TimeMs now) const;
   /// Adds a sample to the failure rate of the upstream.
   void recordResult(bool failed);
   /// @returns the share of recent requests that the upstream failed or rejected, per mille.
@@ -213,11 +232,15 @@
   UpstreamGeneration Generation = 0;
   bool Draining = false;
   bool TakenBack = false;
+  std::size_t ServiceHosts = 1;
   std::uint32_t InFlight = 0;
   RequestLimit Limit;
   bool LimitStated = false; ///< The upstream's process has stated its limit, or that it has none.
   double MeanServiceMs = 0;
   std::map<RouteName, double> RouteServiceMs;
+  double Pace = 0;     ///< Percent; 0: the upstream states none.
+  double MeanPace = 0; ///< Of the requests that the mean service time counts.
+  TimeMs PaceAt = 0;
   double FailureShare = 0;
   std::uint64_t SuspectRunning = 0; ///< Fingerprint of the suspect in flight; 0: none.
   std::vector<GateRequest> Queue;   ///< In order of arrival.
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -74,6 +74,7 @@
 void GateTask::setView(RoutingViewPtr view) {
   View = std::move(view);
   const ServiceView *service = View->serviceNamed(AdmissionControl.upstream().Service);
+  AdmissionControl.setServiceHosts(service == nullptr ? 1 : service->Endpoints.size());
   AdmissionControl.setTakenBack(service != nullptr &&
                                 !mayServe(*service, AdmissionControl.upstream().Version));
   processReleased(AdmissionControl.tick(steadyClockMs()));
@@ -173,7 +174,8 @@
 
 std::string GateTask::loadHeaderValue() const {
   return absl::StrFormat("%d,%d,%.0f,%d", AdmissionControl.inFlight(), AdmissionControl.queued(),
-                         AdmissionControl.meanServiceMs(), AdmissionControl.failurePerMille());
+                         AdmissionControl.presentServiceMs(steadyClockMs()),
+                         AdmissionControl.failurePerMille());
 }
 
 void GateTask::respond(RequestContext &context, HttpResult result) {
--- a/src/traffic/gate_upstream.cpp
+++ b/src/traffic/gate_upstream.cpp
@@ -91,6 +91,7 @@
   }
   if (AdmissionControl.applyLimit(limitStatementOf(Settings.Http, result, kind), steadyClockMs()))
     recordLimitChange();
+  AdmissionControl.recordPace(paceOf(Settings.Http, result, kind), steadyClockMs());
   if (!statesLeaving(Settings.Http, result, kind))
     return;
   LeavingProcess = processOf(AdmissionControl.upstream());
--- a/src/traffic/response_check.cpp
+++ b/src/traffic/response_check.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <cmath>
@@ -16,6 +17,11 @@
 constexpr int StatusMisdirected = 421;
 /// Longest text of a limit that is read as a number.
 constexpr std::size_t MaxLimitLength = 32;
+/// Longest text of a load that is read.
+constexpr std::size_t MaxLoadLength = 64;
+/// Range of paces that are believed, in percent.
+constexpr std::uint32_t MinPace = 10;
+constexpr std::uint32_t MaxPace = 10000;
 
 const std::string *find(const HttpResult &result, const std::string &name) {
   return name.empty() ? nullptr : findHeader(result.Headers, name);
@@ -71,6 +77,18 @@
   return LimitNamed{perSecond};
 }
 
+std::uint32_t paceOf(const HttpHeaderNames &headerNames, const HttpResult &result,
+                     ResponseKind kind) {
+  const std::string *load = find(result, headerNames.Load);
+  if (kind == ResponseKind::Invalid || load == nullptr || load->size() > MaxLoadLength)
+    return 0;
+  const std::vector<std::string> figures = absl::StrSplit(*load, ',');
+  std::uint32_t percent = 0;
+  const bool valid = figures.size() == 4 && absl::SimpleAtoi(figures[3], &percent) &&
+                     percent >= MinPace && percent <= MaxPace;
+  return valid ? percent : 0;
+}
+
 bool statesLeaving(const HttpHeaderNames &headerNames, const HttpResult &result,
                    ResponseKind kind) {
   const std::string *leaving = find(result, headerNames.Leaving);
--- a/src/traffic/response_check.h
+++ b/src/traffic/response_check.h
@@ -25,6 +25,12 @@
 LimitStatement limitStatementOf(const HttpHeaderNames &headerNames, const HttpResult &result,
                                 ResponseKind kind);
 
+/// Reads the pace of an upstream from the load that a response states.
+/// @param kind result of classifyResponse().
+/// @returns the time that work takes at present, in percent of the usual time; 0: not stated.
+std::uint32_t paceOf(const HttpHeaderNames &headerNames, const HttpResult &result,
+                     ResponseKind kind);
+
 /// @returns whether a response refuses a request because it names another process than the one that
 /// answers.
 /// @param kind result of classifyResponse().
--- a/tests/limit_test.cpp
+++ b/tests/limit_test.cpp
@@ -193,6 +193,21 @@
   BOOST_TEST(!leaving(responseWith(200, {{"Server-Leaving", "1"}})));
 }
 
+BOOST_AUTO_TEST_CASE(the_pace_is_read_from_a_whole_load_only) {
+  const HttpHeaderNames names = platform::platformEnvironment().Http;
+  const auto pace = [&names](const std::string &load, const HeaderField &proof) {
+    const HttpResult result = responseWith(200, {proof, {"Server-Load", load}});
+    return paceOf(names, result, classifyResponse(names, result, "r1"));
+  };
+  const HeaderField signature{"Server-Signature", "x"};
+  BOOST_TEST(pace("3,0,18,250", signature) == 250U);
+  BOOST_TEST(pace("3,0,18,250", {"X", "x"}) == 0U);
+  for (const char *load :
+       {"", "3,0,18", "3,0,18,", "3,0,18,-5", "3,0,18,1e3", "3,0,18,0", "3,0,18,9", "3,0,18,10001",
+        "3,0,18,99999999999", "3,0,18,250,1", "nan,0,18,x"})
+    BOOST_TEST(pace(load, signature) == 0U, "load \"" << load << "\"");
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_has_stated_that_it_leaves_is_chosen_by_no_later_request) {
   ServiceView view;
   view.add({HostID("h0"), "h0", VersionLabel(), 12, true, 0, "i-1@5"});
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -339,6 +339,41 @@
   BOOST_TEST((gate.finish(Now + 60).Run == std::vector<GateTicket>{5}));
 }
 
+/// A burst at one gate of a large service: what exceeds its slots is better served by another gate.
+BOOST_AUTO_TEST_CASE(gates_of_a_service_share_its_queue) {
+  const auto queuedOf = [](std::size_t hosts, std::uint32_t slots) {
+    Gate gate = openGate(slots);
+    gate.setServiceHosts(hosts);
+    for (GateTicket ticket = 1; ticket <= 100; ++ticket)
+      gate.admit(request(ticket), Now);
+    return gate.queued();
+  };
+  BOOST_TEST(queuedOf(1, 18) == 36U);
+  BOOST_TEST(queuedOf(0, 18) == 36U);
+  BOOST_TEST(queuedOf(3, 18) == 12U);
+  BOOST_TEST(queuedOf(40, 18) == 5U);
+  BOOST_TEST(queuedOf(40, 2) == 2U);
+  BOOST_TEST(queuedOf(40, 1) == 2U);
+  BOOST_TEST(queuedOf(40, 0) == 0U);
+}
+
+/// Other work on the host slows its upstream down for moments.
+BOOST_AUTO_TEST_CASE(present_service_time_follows_the_pace_that_the_upstream_states) {
+  Gate gate = openGate(4);
+  gate.recordServiceTime(RouteName("r"), 100);
+  gate.recordPace(100, Now);
+  BOOST_TEST(gate.presentServiceMs(Now) == 100, boost::test_tools::tolerance(0.01));
+  gate.recordPace(250, Now);
+  BOOST_TEST(gate.presentServiceMs(Now) > 200);
+  gate.recordPace(0, Now);
+  BOOST_TEST(gate.presentServiceMs(Now) > 200);
+  BOOST_TEST(gate.presentServiceMs(Now + PaceLifetime) == 100);
+  // The upstream's next process has its own pace.
+  gate.setUpstream({ServiceName("lookups"), VersionLabel("v1"), 4, "next"});
+  gate.recordServiceTime(RouteName("r"), 100);
+  BOOST_TEST(gate.presentServiceMs(Now) == 100);
+}
+
 /// Load at twice the capacity: service time 100 ms, objective 250 ms, deadline 1000 ms.
 BOOST_AUTO_TEST_CASE(at_twice_the_capacity_most_responses_meet_the_objective) {
   constexpr TimeMs ServiceTime = 100;
--- a/tools/load_model.cpp
+++ b/tools/load_model.cpp
@@ -141,6 +141,8 @@
         Hosts.push_back(std::move(host));
       }
     }
+    for (const auto &host : Hosts)
+      host->Admission.setServiceHosts(Settings.Services[host->Service].Hosts);
     for (const auto &host : Hosts)
       host->Budgets.assign(Settings.Services.size(),
                            RetryBudget(maxRetryTokens(RetrySlack, Hosts.size())));
@@ -395,8 +397,8 @@
   double serviceFactor(Host &host) {
     const double use = static_cast<double>(host.Admission.inFlight()) /
                        static_cast<double>(Settings.Services[host.Service].Slots);
-    return host.SlowFactor * noiseFactor(host) * (Now < host.ColdUntil ? ColdFactor : 1) / host.Speed *
-           (1 + Settings.FullSlowdown * use * use);
+    return host.SlowFactor * noiseFactor(host) * (Now < host.ColdUntil ? ColdFactor : 1) /
+           host.Speed * (1 + Settings.FullSlowdown * use * use);
   }
 
   Host *chooseAsOracle(Request &request) {
@@ -465,9 +467,12 @@
 
   // --- Gate and upstream ---
 
-  LoadReport reportOf(const Host &host) const {
+  LoadReport reportOf(Host &host) {
+    const ModelService &service = Settings.Services[host.Service];
+    if (service.NoiseShare > 0)
+      host.Admission.recordPace(static_cast<std::uint32_t>(100 * noiseFactor(host)), toMs(Now));
     return {host.Admission.inFlight(), static_cast<std::uint32_t>(host.Admission.queued()),
-            static_cast<std::uint32_t>(host.Admission.meanServiceMs()),
+            static_cast<std::uint32_t>(host.Admission.presentServiceMs(toMs(Now))),
             host.Admission.failurePerMille()};
   }
 
--- a/tools/load_model.h
+++ b/tools/load_model.h
@@ -120,9 +120,9 @@
   std::uint64_t Repeated = 0; ///< Executions of a request that had been executed before.
   std::uint64_t RepeatedUnsafe = 0;
   double WorthInTime =
-      0;              ///< Worth of the requests answered within their objective, per worth sent.
-  double WorthEarned = 0; ///< The same with late answers at their routes' LateShare.
-  double SlotUse = 0; ///< Mean share of slots in use.
+      0; ///< Worth of the requests answered within their objective, per worth sent.
+  double WorthEarned = 0;     ///< The same with late answers at their routes' LateShare.
+  double SlotUse = 0;         ///< Mean share of slots in use.
   double BusiestOverMean = 0; ///< Slot use of the busiest upstream of the first service.
   bool operator==(const ModelResult &) const = default;
 };
