--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace jasmineloom {
 
@@ -80,6 +81,9 @@
     LimitStated = false;
     MeanServiceMs = 0;
     RouteServiceMs.clear();
+    Pace = 0;
+    MeanPace = 0;
+    PaceAt = 0;
     FailureShare = 0;
     Warming.suspect(now);
   }
@@ -232,6 +236,27 @@
   mean = movingAverage(mean, sample);
 }
 
+std::size_t Gate::queueCapacity() const {
+  const double perSlot =
+      std::max(MinQueuePerSlot, QueuePerSlot / static_cast<double>(ServiceHosts));
+  const double waiting = std::max(perSlot * Upstream.Slots, MinQueueCapacity);
+  return static_cast<std::size_t>(std::ceil(std::min(waiting, QueuePerSlot * Upstream.Slots)));
+}
+
+void Gate::recordPace(std::uint32_t percent, TimeMs now) {
+  if (percent == 0)
+    return;
+  Pace = percent;
+  PaceAt = now;
+  MeanPace = MeanPace == 0 ? Pace : MeanPace + PaceSmoothing * (Pace - MeanPace);
+}
+
+double Gate::presentServiceMs(TimeMs now) const {
+  if (MeanPace == 0 || now >= PaceAt + PaceLifetime)
+    return MeanServiceMs;
+  return MeanServiceMs * Pace / MeanPace;
+}
+
 double Gate::meanServiceMs(const RouteName &route) const {
   const auto it = RouteServiceMs.find(route);
   return it == RouteServiceMs.end() ? MeanServiceMs : it->second;
@@ -282,7 +307,7 @@
 bool Gate::isQueueFull(std::size_t arriving) const {
   const std::size_t free = Upstream.Slots - std::min(InFlight, Upstream.Slots);
   const std::size_t queueing = arriving - std::min(arriving, free);
-  return Queue.size() + queueing >= std::size_t{Upstream.Slots} * QueuePerSlot;
+  return Queue.size() + queueing >= queueCapacity();
 }
 
 AdmissionResult Gate::checkHeader(const GateRequest &request, std::size_t arriving,
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -102,6 +102,7 @@
       now);
   AdmissionControl.setEvacuated(View->Evacuated.contains(Settings.DataCentre), now);
   Stats.setEvacuated(AdmissionControl.evacuated());
+  AdmissionControl.setServiceHosts(service == nullptr ? 1 : service->Endpoints.size());
   AdmissionControl.setTakenBack(service != nullptr &&
                                 !mayServe(*service, AdmissionControl.upstream().Version));
   processReleased(AdmissionControl.tick(now));
@@ -218,7 +219,8 @@
 
 std::string GateTask::loadHeaderValue() const {
   return absl::StrFormat("%d,%d,%.0f,%d", AdmissionControl.inFlight(), AdmissionControl.queued(),
-                         AdmissionControl.meanServiceMs(), AdmissionControl.failurePerMille());
+                         AdmissionControl.presentServiceMs(steadyClockMs()),
+                         AdmissionControl.failurePerMille());
 }
 
 void GateTask::respond(RequestContext &context, HttpResult result) {
