--- a/src/control/control_proof.cpp
+++ b/src/control/control_proof.cpp
@@ -18,6 +18,8 @@
 constexpr const char *EmptyPrefix = "jasmineloom/none/";
 /// Readers that rank before a node by which it delays its own reading, at most.
 constexpr std::size_t MaxProofRank = 6;
+/// Multiple of the longest retry delay for a node without links.
+constexpr DurationMs IsolatedRetryFactor = 4;
 /// Proofs are of use for this many in-force times where keys have no revocation time.
 constexpr DurationMs BoundInForceTimes = 2;
 
@@ -53,8 +55,11 @@
   const TimeMs readAt = Proof.latest() == 0 ? bootNow : Proof.latest() + due;
   if (readAt > bootNow)
     return timer().afterDelay((readAt - bootNow) * kj::MILLISECONDS);
-  return proveConfig().then([this, times](bool proved) -> kj::Promise<void> {
-    ProofRetryDelay = proved ? 0 : std::clamp(2 * ProofRetryDelay, times.RankDelay, times.ReadAge);
+  // A node that is cut off from all others mostly is from the store too, and hears of its way back
+  // by its links.
+  const DurationMs longest = (allLinksSilent(now) ? IsolatedRetryFactor : 1) * times.ReadAge;
+  return proveConfig().then([this, times, longest](bool proved) -> kj::Promise<void> {
+    ProofRetryDelay = proved ? 0 : std::clamp(2 * ProofRetryDelay, times.RankDelay, longest);
     if (proved)
       return kj::READY_NOW;
     return timer().afterDelay((ProofRetryDelay + randomBelow(ProofRetryDelay)) * kj::MILLISECONDS);
