Let readers of later rank wait for the first one

A proof that comes over links is dated early by up to the hold time of an exchange, more than the 25th of the revocation time by which a reader of the next rank waited, so that several asked the store side by side. They now wait a fifth of it more.

--- a/src/control/control_proof.cpp
+++ b/src/control/control_proof.cpp
@@ -50,7 +50,7 @@
   if (!needsProof() || !(usesStore(now) || allLinksSilent(now)))
     return timer().afterDelay(Settings.Times.ExchangeHold * kj::MILLISECONDS);
   const ProofTimes times = ProofTimes::forBound(proofBound(Settings));
-  const DurationMs due = times.ReadAge + proofRank(now) * times.RankDelay;
+  const DurationMs due = times.readAge(proofRank(now));
   const TimeMs bootNow = bootClockMs();
   const TimeMs readAt = Proof.latest() == 0 ? bootNow : Proof.latest() + due;
   if (readAt > bootNow)
--- a/src/workspace/config_proof.h
+++ b/src/workspace/config_proof.h
@@ -11,13 +11,22 @@
 
 /// Periods of proofs, as parts of the time after which a key that was taken away is refused.
 struct ProofTimes {
-  DurationMs ReadAge = 0;   ///< Age of the proof at which the first of the readers asks the store.
-  DurationMs RankDelay = 0; ///< Added for each reader that ranks before.
+  DurationMs ReadAge = 0; ///< Age of the proof at which the first of the readers asks the store.
+  /// Added for readers of later rank. A proof that came over links is dated early by up to the hold
+  /// time of an exchange, which must not make them read beside the first.
+  DurationMs TakeOverDelay = 0;
+  DurationMs RankDelay = 0; ///< Added for each reader that ranks before, but the first.
   DurationMs Step = 0;      ///< A proof is sent at once if the receiver can date it so much later.
 
   /// @param bound time for which a proof is of use.
   static constexpr ProofTimes forBound(DurationMs bound) {
-    return {bound / 5, bound / 25, bound / 10};
+    return {bound / 5, bound / 5, bound / 25, bound / 10};
+  }
+
+  /// @param rank number of readers that rank before.
+  /// @returns the age of its proof at which a reader asks the store.
+  constexpr DurationMs readAge(std::size_t rank) const {
+    return ReadAge + (rank == 0 ? 0 : TakeOverDelay + (rank - 1) * RankDelay);
   }
 };
 
--- a/tests/config_proof_test.cpp
+++ b/tests/config_proof_test.cpp
@@ -219,6 +219,9 @@
       oldest = std::max(oldest, now - leaf.provedAt(7));
   }
   BOOST_TEST(oldest < Bound / 2);
+  // Readers of later rank stay silent while the first one reads, and the last one is in time.
+  BOOST_TEST(oldest < Times.readAge(1));
+  BOOST_TEST(Times.readAge(6) + Bound / 10 < Bound * 3 / 4);
   // Two exchanges per link and proof, besides those that hosts make anyway.
   BOOST_TEST(messages / 4 * Hold < (End - 10000) * 4);
 }
