--- a/src/control/control_proof.cpp
+++ b/src/control/control_proof.cpp
@@ -87,7 +87,7 @@
     const ConfigVersion version = same ? ProvedVersion : versionOf(entry);
     // A watch may have missed the change.
     if (Settings.Env.Document.has_value() && version > Node.config().heldVersion())
-      applyEntries(response.Entries);
+      applyEntries(response.Entries, response.Era);
     ProvedRevision = response.Revision;
     ProvedEra = response.Era;
     ProvedEntryRevision = entry.Revision;
