Drop the unsent rest of a refused body with its connection

Cause: a request's body is in the kernel's buffer before the refusal of its header arrives, and closing the connection sends it all the same, over a link that the refusal was to spare.

Change: a connection that ends with a response while the kernel holds unsent bytes is closed with a reset.

--- a/src/http/http_pool.cpp
+++ b/src/http/http_pool.cpp
@@ -6,8 +6,10 @@
 #include <absl/strings/str_cat.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 
@@ -94,6 +96,15 @@
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Drops what the kernel has not sent yet when the connection is closed; it would otherwise send
+/// the rest of a body that was refused.
+void dropUnsentOnClose(evutil_socket_t fd) {
+  int queued = 0;
+  const linger reset{1, 0};
+  if (ioctl(fd, SIOCOUTQ, &queued) == 0 && queued > 0)
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 /// @returns the time for which a connection may stay idle by its Keep-Alive header, or \p fallback.
 DurationMs keepAliveTimeout(const HeaderFields &headers, DurationMs fallback) {
   const std::string *value = findHeader(headers, "keep-alive");
@@ -346,6 +357,7 @@
     Idle[connection->Address].push_back(connection);
     updateHeld(*connection);
   } else {
+    dropUnsentOnClose(bufferevent_getfd(connection->Socket.get()));
     closeLater(connection);
   }
   end(call, std::move(result));
