--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -326,10 +326,10 @@
   if (!Workspaces || PublishedVersion != held->Version)
     Workspaces = workspaceTableOf(*held);
   PublishedVersion = held->Version;
-  const RoutingViewPtr view = buildRoutingView(
-      *held, hosts, Node.progress(), Settings.Identity.DataCentre,
-      static_cast<std::int64_t>(now) - static_cast<std::int64_t>(wallClockMs()),
-      Workspaces, Node.evacuated(), quotaHosts);
+  const RoutingViewPtr view =
+      buildRoutingView(*held, hosts, Node.progress(), Settings.Identity.DataCentre,
+                       static_cast<std::int64_t>(now) - static_cast<std::int64_t>(wallClockMs()),
+                       Workspaces, Node.evacuated(), quotaHosts);
   recordEvacuations(*view);
   Traffic.put(PublishView{view});
   publishProof();
--- a/src/environment.h
+++ b/src/environment.h
@@ -95,7 +95,7 @@
 /// Store keys and formats of the operators' configuration, and of the rollout states that they
 /// read.
 struct DocumentFormat {
-  std::string Prefix; ///< Prefix of the keys that operators write; nodes only read them.
+  std::string Prefix;    ///< Prefix of the keys that operators write; nodes only read them.
   std::string ConfigKey; ///< Key of the newest configuration.
   /// @returns the decoded entry; monostate if it was removed or its key is not used.
   absl::StatusOr<DocumentEntry> (*Decode)(const StoreEntry &entry) = nullptr;
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -70,9 +70,9 @@
   absl::flat_hash_map<std::string, ServiceView> Services;
   WorkspaceTablePtr Workspaces = std::make_shared<const WorkspaceTable>(); ///< Never null.
   std::set<DataCentreName> Evacuated; ///< Nothing is sent to the upstreams there.
-  std::vector<HostRecord> Hosts; ///< Hosts that have announced a service, including gone ones.
-  QuotaLimits Quotas;            ///< Of the workspaces that have one.
-  std::uint32_t QuotaHosts = 0;  ///< Hosts that divide the quotas; see PartRetention.
+  std::vector<HostRecord> Hosts;      ///< Hosts that have announced a service, including gone ones.
+  QuotaLimits Quotas;                 ///< Of the workspaces that have one.
+  std::uint32_t QuotaHosts = 0;       ///< Hosts that divide the quotas; see PartRetention.
 
   /// Finds the route with the longest matching prefix; routes of the host take precedence over
   /// those without a host.
--- a/tools/jasmine_model.cpp
+++ b/tools/jasmine_model.cpp
@@ -48,13 +48,17 @@
 }
 
 std::string jsonOf(const ModelResult &result) {
-  nlohmann::json json = {
-      {"total", jsonOf(result.Total)},    {"worth_in_time", result.WorthInTime},
-      {"worth_earned", result.WorthEarned},
-      {"slot_use", result.SlotUse},       {"busiest_over_mean", result.BusiestOverMean},
-      {"attempts", result.Attempts},      {"busy", result.Busy},
-      {"overloaded", result.Overloaded},  {"remote", result.Remote},
-      {"turned_away", result.TurnedAway}, {"repeated", result.Repeated}};
+  nlohmann::json json = {{"total", jsonOf(result.Total)},
+                         {"worth_in_time", result.WorthInTime},
+                         {"worth_earned", result.WorthEarned},
+                         {"slot_use", result.SlotUse},
+                         {"busiest_over_mean", result.BusiestOverMean},
+                         {"attempts", result.Attempts},
+                         {"busy", result.Busy},
+                         {"overloaded", result.Overloaded},
+                         {"remote", result.Remote},
+                         {"turned_away", result.TurnedAway},
+                         {"repeated", result.Repeated}};
   for (const ModelRouteResult &route : result.Routes)
     json["routes"][route.Route] = {{"counts", jsonOf(route.Counts)},
                                    {"p50_ms", route.P50Ms},
@@ -89,7 +93,8 @@
 
 std::string lineOf(const char *name, const ModelResult &result) {
   return absl::StrFormat(
-      "%-8s worth in time %.4f, with late answers %.4f, in time %.4f, refused %.4f, failed %.4f, slots "
+      "%-8s worth in time %.4f, with late answers %.4f, in time %.4f, refused %.4f, failed %.4f, "
+      "slots "
       "in use %.2f, busiest/mean %.2f; attempts a request %.2f, busy %.3f, "
       "remote %.3f\n",
       name, result.WorthInTime, result.WorthEarned, result.Total.inTimeShare(),
