--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -4,7 +4,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace jasmineloom {
 
@@ -199,13 +198,6 @@
   mean = movingAverage(mean, sample);
 }
 
-std::size_t Gate::queueCapacity() const {
-  const double perSlot =
-      std::max(MinQueuePerSlot, QueuePerSlot / static_cast<double>(ServiceHosts));
-  const double waiting = std::max(perSlot * Upstream.Slots, MinQueueCapacity);
-  return static_cast<std::size_t>(std::ceil(std::min(waiting, QueuePerSlot * Upstream.Slots)));
-}
-
 void Gate::recordPace(std::uint32_t percent, TimeMs now) {
   if (percent == 0)
     return;
--- a/src/admission/gate_base.h
+++ b/src/admission/gate_base.h
@@ -4,7 +4,6 @@
 #include "admission/request_limit.h"
 #include "routing/outcome_type.h"
 
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -85,13 +84,8 @@
   bool operator==(const DequeueResult &) const = default;
 };
 
-/// Queued requests per slot of a service, shared by the gates of its hosts.
-constexpr double QueuePerSlot = 2;
-/// Queued requests per slot of a gate with many others beside it: enough to keep the slots in use
-/// until the next request arrives. What waits longer would start sooner at another gate.
-constexpr double MinQueuePerSlot = 0.25;
-/// Queued requests of a gate with few slots: one of them may leave before a slot is free.
-constexpr double MinQueueCapacity = 2;
+/// Queued requests per slot.
+constexpr std::uint32_t QueuePerSlot = 2;
 /// Queued requests per slot that will miss their objective: enough to use slots that would
 /// otherwise be idle.
 constexpr double LateQueuePerSlot = 0.5;
@@ -142,10 +136,8 @@
   /// at the earlier one, and without its service times, failures and limit. Queued requests that it
   /// may not run leave the queue with the next tick().
   void setUpstream(const LocalUpstream &upstream);
-  /// Sets the number of hosts of the upstream's service, which share its queue.
-  void setServiceHosts(std::size_t hosts) { ServiceHosts = std::max<std::size_t>(hosts, 1); }
   /// @returns the number of requests that may wait at once.
-  std::size_t queueCapacity() const;
+  std::size_t queueCapacity() const { return std::size_t{Upstream.Slots} * QueuePerSlot; }
   /// While draining, new requests are refused and queued ones still run.
   void setDraining(bool draining) { Draining = draining; }
   /// Refuses new requests while the upstream's version is rolled back.
@@ -232,7 +224,6 @@
   UpstreamGeneration Generation = 0;
   bool Draining = false;
   bool TakenBack = false;
-  std::size_t ServiceHosts = 1;
   std::uint32_t InFlight = 0;
   RequestLimit Limit;
   bool LimitStated = false; ///< The upstream's process has stated its limit, or that it has none.
--- a/src/balance/placement.h
+++ b/src/balance/placement.h
@@ -16,7 +16,7 @@
 constexpr DurationMs MinEjectionTime = 500;
 constexpr DurationMs MaxEjectionTime = 4 * MsPerSecond;
 /// Age at which a load report is ignored: the requests that it counted have ended by then.
-constexpr DurationMs LoadReportLifetime = 2 * MsPerSecond;
+constexpr DurationMs LoadReportLifetime = 1 * MsPerSecond;
 /// Age at which the service time in a load report has half of its weight.
 constexpr DurationMs ServiceTimeHalfLife = 8 * MsPerSecond;
 
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -74,7 +74,6 @@
 void GateTask::setView(RoutingViewPtr view) {
   View = std::move(view);
   const ServiceView *service = View->serviceNamed(AdmissionControl.upstream().Service);
-  AdmissionControl.setServiceHosts(service == nullptr ? 1 : service->Endpoints.size());
   AdmissionControl.setTakenBack(service != nullptr &&
                                 !mayServe(*service, AdmissionControl.upstream().Version));
   processReleased(AdmissionControl.tick(steadyClockMs()));
--- a/src/traffic/retry_rule.h
+++ b/src/traffic/retry_rule.h
@@ -50,7 +50,7 @@
 
 /// Refusals for overload after which a request is not retried: the gates with the shortest expected
 /// wait are tried first, and each attempt sends the whole request.
-constexpr std::uint32_t MaxOverloadRefusals = 3;
+constexpr std::uint32_t MaxOverloadRefusals = 2;
 
 /// Upper limit of attempts, including the first.
 constexpr std::uint32_t MaxAttempts = 6;
