--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -102,7 +102,6 @@
       now);
   AdmissionControl.setEvacuated(View->Evacuated.contains(Settings.DataCentre), now);
   Stats.setEvacuated(AdmissionControl.evacuated());
-  AdmissionControl.setServiceHosts(service == nullptr ? 1 : service->Endpoints.size());
   AdmissionControl.setTakenBack(service != nullptr &&
                                 !mayServe(*service, AdmissionControl.upstream().Version));
   processReleased(AdmissionControl.tick(now));
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -18,7 +18,7 @@
 constexpr DurationMs Step = 5;
 constexpr DurationMs CallTimeout = 300;
 constexpr DurationMs Window = 5 * MsPerSecond;
-constexpr DurationMs WarmUp = 6 * MsPerSecond; ///< All nodes have lent, and may use their parts.
+constexpr DurationMs StartTime = 6 * MsPerSecond; ///< All nodes have lent, and may use their parts.
 constexpr std::size_t NodeCount = 24;
 const WorkspaceName Busy("busy");
 const QuotaLimit Limit{200, 200};
@@ -147,12 +147,12 @@
 // Load: nearly all of a workspace's demand is at one node, then moves to another.
 BOOST_AUTO_TEST_CASE(skewed_demand_below_the_quota_is_served) {
   TestMesh mesh;
-  mesh.run(WarmUp, evenly(0));
+  mesh.run(StartTime, evenly(0));
   const double perSecond = 0.9 * Limit.PerSecond;
-  mesh.run(WarmUp + 20000, [perSecond](std::size_t node, DurationMs at) {
-    return node == (at < WarmUp + 10000 ? 5 : 6) ? perSecond : 0.0;
+  mesh.run(StartTime + 20000, [perSecond](std::size_t node, DurationMs at) {
+    return node == (at < StartTime + 10000 ? 5 : 6) ? perSecond : 0.0;
   });
-  BOOST_TEST(mesh.sentBetween(WarmUp, WarmUp + 20000) >= 0.95 * 20 * perSecond);
+  BOOST_TEST(mesh.sentBetween(StartTime, StartTime + 20000) >= 0.95 * 20 * perSecond);
   BOOST_TEST(mesh.mostInWindow() <= allowed(Limit));
 }
 
@@ -160,21 +160,21 @@
 BOOST_AUTO_TEST_CASE(sparse_demand_below_the_quota_is_served) {
   TestMesh mesh;
   mesh.Limits[Busy.str()] = {8, 8};
-  mesh.run(WarmUp, evenly(0));
-  mesh.run(WarmUp + 20000, evenly(7));
-  BOOST_TEST(mesh.sentBetween(WarmUp, WarmUp + 20000) >= 0.95 * 20 * 7);
+  mesh.run(StartTime, evenly(0));
+  mesh.run(StartTime + 20000, evenly(7));
+  BOOST_TEST(mesh.sentBetween(StartTime, StartTime + 20000) >= 0.95 * 20 * 7);
   BOOST_TEST(mesh.mostInWindow() <= allowed({8, 8}));
 }
 
 // Load: five times the quota at all nodes, then a burst at each of them in the same moment.
 BOOST_AUTO_TEST_CASE(demand_beyond_the_quota_gets_the_quota) {
   TestMesh mesh;
-  mesh.run(WarmUp, evenly(0));
-  mesh.run(WarmUp + 10000, evenly(5 * Limit.PerSecond));
-  BOOST_TEST(mesh.sentBetween(WarmUp + 1000, WarmUp + 10000) >= 0.95 * 9 * Limit.PerSecond);
-  mesh.run(WarmUp + 13000, evenly(0));
-  mesh.run(WarmUp + 13100, [](std::size_t, DurationMs) { return 5000.0; });
-  mesh.run(WarmUp + 20000, evenly(0));
+  mesh.run(StartTime, evenly(0));
+  mesh.run(StartTime + 10000, evenly(5 * Limit.PerSecond));
+  BOOST_TEST(mesh.sentBetween(StartTime + 1000, StartTime + 10000) >= 0.95 * 9 * Limit.PerSecond);
+  mesh.run(StartTime + 13000, evenly(0));
+  mesh.run(StartTime + 13100, [](std::size_t, DurationMs) { return 5000.0; });
+  mesh.run(StartTime + 20000, evenly(0));
   BOOST_TEST(mesh.mostInWindow() <= allowed(Limit));
   BOOST_TEST(mesh.mostInWindow(0, 1000) <= allowed(Limit, 1000));
   BOOST_TEST(mesh.Exceeded > 0U);
@@ -183,20 +183,20 @@
 // Failure: the keeper's process dies under five times the quota, and comes back later.
 BOOST_AUTO_TEST_CASE(another_keeper_takes_over) {
   TestMesh mesh;
-  mesh.run(WarmUp, evenly(5 * Limit.PerSecond));
+  mesh.run(StartTime, evenly(5 * Limit.PerSecond));
   mesh.Nodes[0].Running = false;
-  mesh.run(WarmUp + 12000, evenly(5 * Limit.PerSecond));
-  BOOST_TEST(mesh.sentBetween(WarmUp + 2000, WarmUp + 12000) >= 0.9 * 10 * Limit.PerSecond);
+  mesh.run(StartTime + 12000, evenly(5 * Limit.PerSecond));
+  BOOST_TEST(mesh.sentBetween(StartTime + 2000, StartTime + 12000) >= 0.9 * 10 * Limit.PerSecond);
   mesh.restart(0);
-  mesh.run(WarmUp + 24000, evenly(5 * Limit.PerSecond));
-  BOOST_TEST(mesh.sentBetween(WarmUp + 14000, WarmUp + 24000) >= 0.9 * 10 * Limit.PerSecond);
+  mesh.run(StartTime + 24000, evenly(5 * Limit.PerSecond));
+  BOOST_TEST(mesh.sentBetween(StartTime + 14000, StartTime + 24000) >= 0.9 * 10 * Limit.PerSecond);
   BOOST_TEST(mesh.mostInWindow() <= allowed(Limit));
 }
 
 // Failure: the keeper's process is replaced within its loans' time, with demand beyond the quota.
 BOOST_AUTO_TEST_CASE(a_restart_does_not_refill_the_quota) {
   TestMesh mesh;
-  for (DurationMs at = WarmUp; at < WarmUp + 12000; at += 500) {
+  for (DurationMs at = StartTime; at < StartTime + 12000; at += 500) {
     mesh.run(at, evenly(5 * Limit.PerSecond));
     mesh.restart(0);
   }
@@ -211,10 +211,10 @@
       const bool swapped = (it + static_cast<std::size_t>(round) / 4) % 2 == 0;
       mesh.Nodes[it].Ranked = {{nameOf(swapped ? 1 : 0), ""}, {nameOf(swapped ? 0 : 1), ""}};
     }
-    mesh.run(WarmUp + 1000 * static_cast<DurationMs>(round), evenly(5 * Limit.PerSecond));
+    mesh.run(StartTime + 1000 * static_cast<DurationMs>(round), evenly(5 * Limit.PerSecond));
   }
   BOOST_TEST(mesh.mostInWindow() <= allowed(Limit));
-  BOOST_TEST(mesh.sentBetween(WarmUp + 1000, WarmUp + 19000) >= 0.9 * 18 * Limit.PerSecond);
+  BOOST_TEST(mesh.sentBetween(StartTime + 1000, StartTime + 19000) >= 0.9 * 18 * Limit.PerSecond);
 }
 
 // Failure: two keepers have half of the loans each when a burst comes after a quiet time.
@@ -222,8 +222,8 @@
   TestMesh mesh;
   for (std::size_t it = 0; it < NodeCount; it += 2)
     std::swap(mesh.Nodes[it].Ranked[0], mesh.Nodes[it].Ranked[1]);
-  mesh.run(WarmUp, evenly(0));
-  mesh.run(WarmUp + 200, [](std::size_t, DurationMs) { return 2000.0; });
+  mesh.run(StartTime, evenly(0));
+  mesh.run(StartTime + 200, [](std::size_t, DurationMs) { return 2000.0; });
   BOOST_TEST(mesh.mostInWindow(0, 200) <= allowed(Limit, 200));
 }
 
@@ -270,7 +270,7 @@
 
 // Failure: the only keeper dies. The node's part comes back empty when the loan is over.
 BOOST_AUTO_TEST_CASE(a_part_comes_back_empty) {
-  const TimeMs lent = Start + WarmUp;
+  const TimeMs lent = Start + StartTime;
   const QuotaLimit large{1000, 1000};
   QuotaShare share(nameOf(3), 0, Start);
   share.setPeers({{nameOf(0), ""}}, 2, lent);
@@ -290,25 +290,25 @@
 // Failure: a third of the nodes are cut off, each alone, while all have demand beyond the quota.
 BOOST_AUTO_TEST_CASE(cut_nodes_use_their_own_parts) {
   TestMesh mesh;
-  mesh.run(WarmUp, evenly(5 * Limit.PerSecond));
+  mesh.run(StartTime, evenly(5 * Limit.PerSecond));
   for (std::size_t it = 2; it < NodeCount; it += 3)
     mesh.Nodes[it].Cut = true;
-  mesh.run(WarmUp + 8000, evenly(5 * Limit.PerSecond));
-  BOOST_TEST(mesh.sentBetween(WarmUp + 3000, WarmUp + 8000) >= 0.9 * 5 * Limit.PerSecond);
+  mesh.run(StartTime + 8000, evenly(5 * Limit.PerSecond));
+  BOOST_TEST(mesh.sentBetween(StartTime + 3000, StartTime + 8000) >= 0.9 * 5 * Limit.PerSecond);
   for (TestNode &node : mesh.Nodes)
     node.Cut = false;
-  mesh.run(WarmUp + 16000, evenly(5 * Limit.PerSecond));
+  mesh.run(StartTime + 16000, evenly(5 * Limit.PerSecond));
   BOOST_TEST(mesh.mostInWindow() <= allowed(Limit));
 }
 
 // Failure: all nodes are cut for longer than a part may be used without a keeper's answer.
 BOOST_AUTO_TEST_CASE(a_cut_node_stops_in_time) {
   TestMesh mesh;
-  mesh.run(WarmUp, evenly(Limit.PerSecond));
+  mesh.run(StartTime, evenly(Limit.PerSecond));
   for (TestNode &node : mesh.Nodes)
     node.Cut = true;
-  mesh.run(WarmUp + OwnPartTime + 1000, evenly(Limit.PerSecond));
-  const DurationMs end = WarmUp + OwnPartTime + 6000;
+  mesh.run(StartTime + OwnPartTime + 1000, evenly(Limit.PerSecond));
+  const DurationMs end = StartTime + OwnPartTime + 6000;
   mesh.run(end, [&](std::size_t node, DurationMs) { return node > 1 ? 10.0 : 0.0; });
   BOOST_TEST(mesh.sentBetween(end - 4000, end) == 0);
 }
@@ -317,12 +317,12 @@
 BOOST_AUTO_TEST_CASE(a_closing_keeper_returns_its_loans) {
   TestMesh mesh;
   const double perSecond = 0.8 * Limit.PerSecond;
-  mesh.run(WarmUp, evenly(perSecond));
+  mesh.run(StartTime, evenly(perSecond));
   const std::size_t before = mesh.Unproved;
-  mesh.Nodes[0].Keeper.close(Start + WarmUp);
-  mesh.run(WarmUp + 1000, evenly(perSecond));
+  mesh.Nodes[0].Keeper.close(Start + StartTime);
+  mesh.run(StartTime + 1000, evenly(perSecond));
   mesh.Nodes[0].Running = false;
-  mesh.run(WarmUp + 6000, evenly(perSecond));
+  mesh.run(StartTime + 6000, evenly(perSecond));
   BOOST_TEST(mesh.Unproved - before < 0.5 * perSecond);
   BOOST_TEST(mesh.mostInWindow() <= allowed(Limit));
 }
@@ -330,13 +330,13 @@
 // A lower quota binds one window after the nodes have it, a higher one at once.
 BOOST_AUTO_TEST_CASE(a_changed_quota_binds) {
   TestMesh mesh;
-  mesh.run(WarmUp + 5000, evenly(1000));
+  mesh.run(StartTime + 5000, evenly(1000));
   mesh.Limits[Busy.str()] = {50, 50};
-  mesh.run(WarmUp + 15000, evenly(1000));
-  BOOST_TEST(mesh.mostInWindow(WarmUp + 5000 + Window) <= allowed({50, 50}));
+  mesh.run(StartTime + 15000, evenly(1000));
+  BOOST_TEST(mesh.mostInWindow(StartTime + 5000 + Window) <= allowed({50, 50}));
   mesh.Limits[Busy.str()] = {500, 500};
-  mesh.run(WarmUp + 20000, evenly(1000));
-  BOOST_TEST(mesh.sentBetween(WarmUp + 16000, WarmUp + 20000) >= 0.95 * 4 * 500);
+  mesh.run(StartTime + 20000, evenly(1000));
+  BOOST_TEST(mesh.sentBetween(StartTime + 16000, StartTime + 20000) >= 0.95 * 4 * 500);
 }
 
 // Failure: a call that lends arrives after its host has given up and taken the part back.
