Reach both upstreams in the look at their last caller

upstream_changes failed once, under sanitizers beside a load of 26 on 7 cores: the node's log shows the reloaded service in force, but for 40 s each single request went to the same of both upstreams, as placement chooses the faster one, so the other's last caller stayed the old one. The check asks the same of both upstreams as before; 30 requests at once, of which one upstream has slots for 12, now reach both. Ruled out: the reload itself, which the log has 20 s earlier.

--- a/tests/upstream_changes.sh
+++ b/tests/upstream_changes.sh
@@ -28,6 +28,8 @@
 caller_at() { curl -s "127.0.0.1:$(node_port "$1" 4)/standin/stats" | awk '/^last-caller/ { print $2 }'; }
 names_caller() { # SERVICE: the last request at each upstream, which began at node 2, names this service
   answers "127.0.0.1:$(node_port 2 0)/lookups/caller" || return 1
+  # More requests at once than one upstream has slots, as one alone may go to the same upstream each time.
+  curl -s -m 3 -Z --parallel-max 30 -o /dev/null "127.0.0.1:$(node_port 2 0)/lookups/caller[1-30]"
   [ "$(caller_at 1)" = "$1" ] && [ "$(caller_at 3)" = "$1" ]
 }
 
