Close what the review of the new parts found, and count no bodies on their way

Found by reading, each with its sequence: routes that need a key while no workspace is left got 503 for ever and let keys pass on public routes; a request without a key got 401 from a node that could not be sure; large bodies were read before their key was checked; one lost call to a keeper refused a shard's requests at that host; credits asked ahead for small demands mostly ended unused; parts of gone hosts were kept until the next change; a node that had been cut off could bring an evacuation back for good; a watch held over a change of era skipped changes; an order's era could be lost, and a status of another order be taken for its own; a fetch waited three times as long for a silent peer at once.

--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -296,23 +296,18 @@
   return late ? overloadReason(now) : Refusal::None;
 }
 
-bool Gate::isQueueFull(std::size_t arriving) const {
-  const std::size_t free = Upstream.Slots - std::min(InFlight, Upstream.Slots);
-  const std::size_t queueing = arriving - std::min(arriving, free);
-  return Queue.size() + queueing >= queueCapacity();
-}
+bool Gate::isQueueFull() const { return Queue.size() >= queueCapacity(); }
 
-AdmissionResult Gate::checkHeader(const GateRequest &request, std::size_t arriving,
-                                  TimeMs now) const {
+AdmissionResult Gate::checkHeader(const GateRequest &request, TimeMs now) const {
   const Refusal refusal = refusalFor(request, now);
   if (refusal != Refusal::None)
     return {Admission::Refused, refusal, std::nullopt};
-  if (Queue.empty() && mayRun(request, now) && InFlight + arriving < Upstream.Slots)
+  if (Queue.empty() && mayRun(request, now))
     return {Admission::Run, Refusal::None, std::nullopt};
   const double wait = expectedWait(request, now);
   const auto retryAfter = static_cast<DurationMs>(wait + MeanServiceMs / Upstream.Slots);
   Refusal reason = waitRefusal(request, wait, now);
-  if (reason == Refusal::None && isQueueFull(arriving)) {
+  if (reason == Refusal::None && isQueueFull()) {
     const std::vector<QueueRank> waiting = ranks(now);
     const QueueRank rank = rankOf(request, now);
     const bool outranks = std::any_of(waiting.begin(), waiting.end(), [&rank](const QueueRank &it) {
--- a/src/admission/gate_base.h
+++ b/src/admission/gate_base.h
@@ -169,10 +169,8 @@
 
   /// Decides by its header on a request whose body has not been read. Whatever admit() would refuse
   /// now is refused; what passes may have to queue when its body is there.
-  /// @param arriving bodies that are being read, without that of the request. They will take slots
-  /// and places in the queue first, and share the host's link.
   /// @returns the refusal, with Result Refused; Run if the body may be read.
-  AdmissionResult checkHeader(const GateRequest &request, std::size_t arriving, TimeMs now) const;
+  AdmissionResult checkHeader(const GateRequest &request, TimeMs now) const;
   /// Decides whether a request runs now, waits in the queue or is refused.
   AdmissionResult admit(const GateRequest &request, TimeMs now);
 
@@ -242,8 +240,7 @@
   double slotWait(const QueueRank &rank, TimeMs now) const;
   /// @returns why a request that can't run now may not wait either; None if it may.
   Refusal waitRefusal(const GateRequest &request, double wait, TimeMs now) const;
-  /// @param arriving further requests that will take slots or queue.
-  bool isQueueFull(std::size_t arriving = 0) const;
+  bool isQueueFull() const;
   /// @returns the rank of each queued request, in the order of the queue.
   std::vector<QueueRank> ranks(TimeMs now) const;
   DequeueResult dequeue(TimeMs now);
--- a/src/control/control_config.cpp
+++ b/src/control/control_config.cpp
@@ -15,7 +15,7 @@
 /// Multiple of the response timeout for which a peer that has taken the connection may be silent.
 /// On a link full of bodies an answer takes longer than its timeout, and one that is asked for
 /// again waits behind them again.
-constexpr unsigned FetchPatience = 3;
+constexpr std::uint32_t FetchPatience = 3;
 
 } // namespace
 
@@ -29,6 +29,7 @@
             .catch_([this, source = *source](kj::Exception &&exception) {
               recordEvent("config", source.str(),
                           absl::StrCat("fetch failed: ", exception.getDescription().cStr()));
+              ++FetchFailures;
               Node.abandonFetch(steadyClockMs());
               fetchConfig();
             }),
@@ -45,8 +46,8 @@
         request.setHeldVersion(held.Version);
         request.setHeldDigest(held.Digest);
         kj::Promise<capnp::Response<wire::Peer::ConfigResults>> sent = request.send();
-        return failOnSilence(timer(), connection, FetchPatience * limit, steadyClockMs(),
-                             kj::mv(sent));
+        const std::uint32_t patience = std::min(1 + FetchFailures, FetchPatience);
+        return failOnSilence(timer(), connection, patience * limit, steadyClockMs(), kj::mv(sent));
       })
       .then([this, source](capnp::Response<wire::Peer::ConfigResults> response) {
         receiveConfig(source, response.getUpdate());
@@ -64,6 +65,7 @@
   recordEvent("config", absl::StrCat("version ", delta->Version),
               absl::StrCat("received from ", source.str(), ": ",
                            transferText(delta->BaseVersion, delta->Upserts.size(), update.size())));
+  FetchFailures = 0;
   propagateChanges(Node.finishFetch(*delta, steadyClockMs()));
 }
 
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -119,7 +119,8 @@
 kj::Promise<bool> ControlTask::watchDocument() {
   const StoreWatch watch{Settings.Env.Document->Prefix, DocumentRead.Revision,
                          Watches.nextHold(watchShare(steadyClockMs()))};
-  return Store.send(watch).then([this, watch](StoreResponse response) {
+  // The document may be listed in a new era while the watch is held.
+  return Store.send(watch).then([this, watch, era = DocumentRead.Era](StoreResponse response) {
     if (response.Result == StoreResult::Compacted) {
       recordEvent("store", "watch", "history compacted in the store; listing all entries again");
       DocumentRead.Listed = false;
@@ -128,7 +129,7 @@
     if (response.Result != StoreResult::Ok)
       return false;
     // The store has lost the revision from which the watch went on, and may give it out again.
-    const bool lost = response.Era != DocumentRead.Era ||
+    const bool lost = response.Era != era || response.Era != DocumentRead.Era ||
                       (response.Revision != 0 && response.Revision < watch.AfterRevision);
     if (lost) {
       recordEvent("store", "watch", "history lost in the store; listing all entries again");
@@ -201,8 +202,11 @@
 }
 
 void ControlTask::receiveOrder(const RolloutOrder &order) {
-  if (Node.progress().contains(orderID(order)))
+  if (Node.progress().contains(orderID(order))) {
+    // It may have come without its era, over a node that doesn't know eras.
+    Node.updateProgress(initialProgress(order));
     return;
+  }
   std::vector<RolloutProgress> orders = ordersOf(order.Service);
   orders.push_back(initialProgress(order));
   orders = distinctOrders(std::move(orders));
@@ -455,6 +459,14 @@
       Settings.Env.Document->DecodeStatus(response.Entries.front().Value);
   if (!stored.has_value() || !isStatusOf(*stored, progress))
     return;
+  const std::vector<RolloutProgress> known = ordersOf(progress.Service);
+  const bool isOfOther =
+      stored->Order != progress.Order &&
+      std::any_of(known.begin(), known.end(), [&](const RolloutProgress &it) {
+        return it.ID != progress.ID && it.To == stored->To && it.Order == stored->Order;
+      });
+  if (isOfOther)
+    return;
   if (stored->Order == progress.Order) {
     state.StoredPhase = stored->Phase;
     state.StoredStage = stored->Stage;
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -318,9 +318,13 @@
   std::vector<HostRecord> hosts;
   const TimeMs now = steadyClockMs();
   std::uint32_t quotaHosts = 0;
+  TimeMs partsEnd = ~TimeMs{0};
   Node.hosts().forEach([&](const HostRecord &record, TimeMs goneAt) {
     hosts.push_back(record);
-    quotaHosts += holdsQuotaPart(record, goneAt, now) ? 1 : 0;
+    const bool holds = holdsQuotaPart(record, goneAt, now);
+    quotaHosts += holds ? 1 : 0;
+    if (holds && record.State == HostState::Gone)
+      partsEnd = std::min(partsEnd, goneAt + PartRetention);
   });
   const SnapshotPtr &held = Node.config().held();
   if (!Workspaces || PublishedVersion != held->Version)
@@ -330,6 +334,8 @@
       buildRoutingView(*held, hosts, Node.progress(), Settings.Identity.DataCentre,
                        static_cast<std::int64_t>(now) - static_cast<std::int64_t>(wallClockMs()),
                        Workspaces, Node.evacuated(), quotaHosts);
+  QuotaPartsEnd = partsEnd == ~TimeMs{0} ? 0 : partsEnd;
+  NeedsKeys = view->NeedsKeys;
   recordEvacuations(*view);
   Traffic.put(PublishView{view});
   publishProof();
@@ -391,6 +397,10 @@
   StateChanges changes;
   changes.TableChanged = Node.tick(now);
   propagateChanges(changes);
+  if (QuotaPartsEnd != 0 && now >= QuotaPartsEnd) {
+    QuotaPartsEnd = 0;
+    schedulePublish(TablePublishDelay);
+  }
   contactSeeds();
   updateTreePosition();
   if (Position.Root && now >= StartTime + Settings.Times.BootstrapDelay && now >= NextProbe) {
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -337,12 +337,16 @@
   std::map<HostID, std::uint32_t> ProbeFailures;
   std::vector<HeldExchange> HeldExchanges;
   std::set<RolloutID> EndingRollouts;
-  WorkspaceTablePtr Workspaces;       ///< Of the published configuration.
+  WorkspaceTablePtr Workspaces; ///< Of the published configuration.
+  bool NeedsKeys = false;       ///< A route of the published configuration needs a key.
+  /// When the part of a gone host in the quotas ends (steady clock); 0: none is kept.
+  TimeMs QuotaPartsEnd = 0;
   ConfigVersion PublishedVersion = 0; ///< Of the last routing view; 0: none.
   TimeMs PublishDue = 0; ///< When the next routing view is published; 0: none is scheduled.
   bool TreeUpdatePending = false;
   bool FloorConfirmed = false;
   bool WatchOpen = false;
+  std::uint32_t FetchFailures = 0; ///< Fetches of a configuration that failed in succession.
   bool HeadReadActive = false;
   bool HeadReadQueued = false;
   bool Draining = false;
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -76,8 +76,6 @@
 
 bool HttpRequestReader::isMidRequest() const { return Current && Current->Beast.got_some(); }
 
-bool HttpRequestReader::isInBody() const { return Current && Current->HeaderProcessed; }
-
 std::size_t HttpRequestReader::held() const {
   return Current ? Current->HeaderBytes + Current->Beast.get().body().size() : 0;
 }
--- a/src/http/http_request_reader.h
+++ b/src/http/http_request_reader.h
@@ -74,8 +74,6 @@
   RequestReadResult read(evbuffer *in);
   /// @returns whether part of a request was read.
   bool isMidRequest() const;
-  /// @returns whether the header of the current request was read and its body was not.
-  bool isInBody() const;
   /// @returns bytes of the current request that were read from the connection and are kept.
   std::size_t held() const;
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -188,13 +188,6 @@
   Listeners.clear();
 }
 
-std::size_t HttpServer::bodiesInTransfer() const {
-  return static_cast<std::size_t>(
-      std::count_if(Connections.begin(), Connections.end(), [](const auto &it) {
-        return it.first->Reader.isInBody() && !it.first->ReadingDone;
-      }));
-}
-
 bool HttpServer::hasSentAll() const {
   return Pending.empty() && std::all_of(Connections.begin(), Connections.end(), [](const auto &it) {
            return it.first->Pipeline.empty() &&
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -64,8 +64,6 @@
 
   /// @returns the number of requests that were passed to the handler and not answered yet.
   std::size_t pending() const { return Pending.size(); }
-  /// @returns the number of bodies that are being read.
-  std::size_t bodiesInTransfer() const;
   /// @returns the number of open connections.
   std::size_t connections() const { return Connections.size(); }
 
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -289,6 +289,15 @@
 bool MeshNode::updateEvacuation(const Evacuation &evacuation) {
   if (evacuation.DataCentre.empty())
     return false;
+  const bool removed =
+      !Evacuations.contains(evacuation.DataCentre) && evacuation.Active &&
+      std::tie(evacuation.Era, evacuation.Revision) <= std::tie(ListedEra, ListedRevision);
+  if (removed) {
+    // The list lacked it; its sender learns that it was taken back.
+    Evacuations[evacuation.DataCentre] = {evacuation.DataCentre, ListedEra, ListedRevision, false};
+    ++ProgressEpoch;
+    return true;
+  }
   const auto [it, added] = Evacuations.try_emplace(evacuation.DataCentre, evacuation);
   const bool newer =
       std::tie(evacuation.Era, evacuation.Revision) > std::tie(it->second.Era, it->second.Revision);
@@ -301,6 +310,10 @@
 
 std::vector<DataCentreName> MeshNode::retainEvacuations(const std::set<DataCentreName> &listed,
                                                         std::uint64_t era, std::uint64_t revision) {
+  if (std::tie(era, revision) > std::tie(ListedEra, ListedRevision)) {
+    ListedEra = era;
+    ListedRevision = revision;
+  }
   std::vector<DataCentreName> takenBack;
   for (const auto &[dataCentre, evacuation] : Evacuations) {
     if (evacuation.Active && !listed.contains(dataCentre))
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -248,6 +248,9 @@
   std::map<RolloutID, RolloutProgress> Progress;
   /// By data centre; one that was taken back stays, or an older message would bring it back.
   std::map<DataCentreName, Evacuation> Evacuations;
+  /// Store revision of the last list of the document; 0: none.
+  std::uint64_t ListedRevision = 0;
+  std::uint64_t ListedEra = 0;     ///< Era of the store of that list.
   std::uint64_t ProgressEpoch = 0; ///< Rises with each change of Progress and Evacuations.
   std::map<HostID, Link> Links;
   std::map<HostID, ConfigVersion> AckedVersions; ///< Highest version acknowledged by each host.
--- a/src/quota/quota_share.cpp
+++ b/src/quota/quota_share.cpp
@@ -176,8 +176,12 @@
   std::vector<QuotaNeed> needs;
   for (auto &[name, workspace] : Workspaces) {
     workspace.Asked = workspace.Waiting.size();
+    // What a small demand asks for ahead would mostly end unused.
+    const bool steady =
+        decayed(workspace.Demand, workspace.DemandAt, now) * AheadSeconds >= MinSteadyDemand &&
+        now >= workspace.EmptyUntil;
     const QuotaNeed need{name, static_cast<std::uint32_t>(workspace.Asked),
-                         missingAhead(workspace, now)};
+                         steady ? missingAhead(workspace, now) : 0};
     if (need.Waiting != 0 || need.Ahead != 0)
       needs.push_back(need);
   }
@@ -304,14 +308,16 @@
 std::vector<QuotaSettled> QuotaShare::fail(bool refused, TimeMs now) {
   Open = false;
   Answered = false;
-  if (Returning || refused || ++Failures >= MaxFailures) {
+  const bool passedOver = Returning || refused || ++Failures >= MaxFailures;
+  if (passedOver) {
     UnreachableUntil[Current.Host] = now + UnreachableTime;
     Failures = 0;
   }
   scheduleRenewal(now);
   if (Returning)
     return {};
-  Reachable = false;
+  // After one call without an answer, requests wait for the next one.
+  Reachable = Reachable && !passedOver;
   return refuseWaiting(now);
 }
 
--- a/src/rollout/rollout_func.cpp
+++ b/src/rollout/rollout_func.cpp
@@ -61,13 +61,16 @@
 bool mergeProgress(RolloutProgress &held, const RolloutProgress &other) {
   const TimeMs suspect = std::max(held.SuspectUntil, other.SuspectUntil);
   const std::uint32_t stage = std::max(held.Stage, other.Stage);
+  const std::uint64_t era = std::max(held.Era, other.Era);
   const bool later = other.Phase > held.Phase;
   const bool further = other.Phase == held.Phase && other.Stage > held.Stage;
-  const bool changed = later || further || suspect != held.SuspectUntil || stage != held.Stage;
+  const bool changed =
+      later || further || suspect != held.SuspectUntil || stage != held.Stage || era != held.Era;
   if (later || further)
     held = other;
   held.Stage = stage;
   held.SuspectUntil = suspect;
+  held.Era = era;
   return changed;
 }
 
--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -135,6 +135,7 @@
   }
   addDeclaredRollouts(*view, snapshot, progress, steadyOffset);
   for (const RouteSpec *spec : routesOf(snapshot)) {
+    view->NeedsKeys |= spec->NeedsKey;
     if (servicesExist(*view, *spec))
       view->Routes.emplace(routeKeyOf(spec->Host, spec->Prefix), *spec);
   }
--- a/src/routing/routing_view.h
+++ b/src/routing/routing_view.h
@@ -69,6 +69,7 @@
   absl::flat_hash_map<std::string, RouteSpec> Routes; ///< By host and prefix.
   absl::flat_hash_map<std::string, ServiceView> Services;
   WorkspaceTablePtr Workspaces = std::make_shared<const WorkspaceTable>(); ///< Never null.
+  bool NeedsKeys = false;             ///< A route needs a key, also if there is no workspace left.
   std::set<DataCentreName> Evacuated; ///< Nothing is sent to the upstreams there.
   std::vector<HostRecord> Hosts;      ///< Hosts that have announced a service, including gone ones.
   QuotaLimits Quotas;                 ///< Of the workspaces that have one.
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -135,13 +135,12 @@
   const TimeMs now = steadyClockMs();
   AdmissionResult result{Admission::Refused, Refusal::NoConfig, std::nullopt};
   if (View)
-    // The server counts the request that it asks about.
-    result = AdmissionControl.checkHeader(gateRequestOf(fields, now), Server.bodiesInTransfer() - 1,
-                                          now);
+    result = AdmissionControl.checkHeader(gateRequestOf(fields, now), now);
   if (result.Result != Admission::Refused)
     return std::nullopt;
   Stats.recordGateRefusal(result.Reason);
   Stats.recordHeaderRefusal(head.DeclaredBody);
+  askHealth(now);
   return makeRefusal(Outcome::NotRun, result.Reason, result.RetryAfter);
 }
 
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -175,7 +175,7 @@
 
 void IngressTask::setView(RoutingViewPtr view, TimeMs now) {
   View = std::move(view);
-  KeysInUse |= !View->Workspaces->workspaces().empty();
+  KeysInUse |= View->NeedsKeys || !View->Workspaces->workspaces().empty();
   updateRetryBudgets();
   for (const auto &[name, service] : View->Services) {
     for (const Endpoint &endpoint : service.Endpoints)
@@ -237,12 +237,18 @@
   std::erase_if(request.Headers, [&names](const HeaderField &field) {
     // Credentials of another scheme are the upstream's own.
     const bool key = !names.ApiKey.empty() && absl::EqualsIgnoreCase(field.Name, names.ApiKey) &&
-                     absl::StartsWithIgnoreCase(field.Value, names.ApiKeyScheme);
+                     hasScheme(field.Value, names.ApiKeyScheme);
     return key || (!names.Workspace.empty() && absl::EqualsIgnoreCase(field.Name, names.Workspace));
   });
   return credentials;
 }
 
+AccessDecision IngressTask::accessOf(const RouteSpec &route, const std::string &credentials) const {
+  return decideAccess(route, credentials, *View->Workspaces,
+                      {Settings.Http.ApiKeyScheme, Settings.RevocationTime, Settings.InForceTime},
+                      ConfigProvedAt, bootClockMs());
+}
+
 DurationMs IngressTask::timeoutOf(const RouteSpec &route, const HeaderFields &fields) const {
   std::uint64_t requestedMs = 0;
   if (absl::SimpleAtoi(headerValue(fields, Settings.Http.Deadline), &requestedMs))
@@ -266,7 +272,12 @@
   const RouteSpec *route = View ? View->routeFor(head.Path, headerValue(fields, "host")) : nullptr;
   const bool large = route == nullptr ? head.DeclaredBody >= LargeBodyBytes : route->LargeBody;
   const TimeMs now = steadyClockMs();
-  const Refusal reason = large ? entryRefusal(route, fields, now) : Refusal::None;
+  Refusal reason = large ? entryRefusal(route, fields, now) : Refusal::None;
+  if (large && reason == Refusal::None) {
+    const AccessDecision access = accessOf(*route, headerValue(fields, Settings.Http.ApiKey));
+    if (const auto *refused = std::get_if<AccessRefused>(&access); refused != nullptr)
+      reason = refused->Reason;
+  }
   if (reason == Refusal::None)
     return std::nullopt;
   LastRequestAt = now;
@@ -313,10 +324,7 @@
   }
   const std::string credentials =
       KeysInUse || route->NeedsKey ? takeCredentials(context.Request) : std::string();
-  const AccessDecision access =
-      decideAccess(*route, credentials, *View->Workspaces,
-                   {Settings.Http.ApiKeyScheme, Settings.RevocationTime, Settings.InForceTime},
-                   ConfigProvedAt, bootClockMs());
+  const AccessDecision access = accessOf(*route, credentials);
   if (const auto *refused = std::get_if<AccessRefused>(&access); refused != nullptr) {
     refuse(context, Outcome::NotRun, refused->Reason);
     return;
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -9,6 +9,7 @@
 #include "traffic/quota_task.h"
 #include "traffic/request_log.h"
 #include "traffic/retry_rule.h"
+#include "workspace/access_rule.h"
 
 #include <map>
 #include <memory>
@@ -65,6 +66,8 @@
   /// Removes what only the node may set from the header fields of a caller's request.
   /// @returns the value of the key's header.
   std::string takeCredentials(HttpRequest &request) const;
+  /// @returns whether a request with these credentials may be sent by the route, as of now.
+  AccessDecision accessOf(const RouteSpec &route, const std::string &credentials) const;
   bool mayAccept(DurationMs timeout, TimeMs now) const;
   void endPending();
   static PlacementRequest placementOf(const RequestContext &context, TimeMs now);
--- a/src/workspace/access_rule.cpp
+++ b/src/workspace/access_rule.cpp
@@ -26,11 +26,16 @@
          isYounger(provedAt, revocationTime - revocationTime / RevocationMarginDivisor, now);
 }
 
+bool hasScheme(std::string_view credentials, std::string_view scheme) {
+  const std::size_t end = scheme.size();
+  return credentials.size() >= end && (credentials.size() == end || credentials[end] == ' ') &&
+         absl::EqualsIgnoreCase(absl::string_view(credentials.data(), end),
+                                absl::string_view(scheme.data(), end));
+}
+
 std::string_view keyIn(std::string_view credentials, std::string_view scheme) {
   const std::size_t end = scheme.size();
-  if (credentials.size() <= end + 1 || credentials[end] != ' ' ||
-      !absl::EqualsIgnoreCase(absl::string_view(credentials.data(), end),
-                              absl::string_view(scheme.data(), end)))
+  if (credentials.size() <= end + 1 || !hasScheme(credentials, scheme))
     return {};
   credentials.remove_prefix(credentials.find_first_not_of(' ', end) < credentials.size()
                                 ? credentials.find_first_not_of(' ', end)
@@ -44,12 +49,13 @@
   if (!route.NeedsKey)
     return AccessGranted{WorkspaceName(), route.Worth};
   const std::string_view key = keyIn(credentials, terms.Scheme);
+  const bool isCurrent = isYounger(provedAt, terms.InForceTime, now);
+  // A newer configuration may have made the route public.
   if (key.empty())
-    return AccessRefused{Refusal::NoKey};
+    return AccessRefused{isCurrent ? Refusal::NoKey : Refusal::ConfigUnproved};
   const Workspace *workspace = table.holderOf(digestOfKey(key));
   if (workspace == nullptr)
-    return AccessRefused{isYounger(provedAt, terms.InForceTime, now) ? Refusal::UnknownKey
-                                                                     : Refusal::ConfigUnproved};
+    return AccessRefused{isCurrent ? Refusal::UnknownKey : Refusal::ConfigUnproved};
   if (!maySpeakForKeys(provedAt, terms.RevocationTime, now))
     return AccessRefused{Refusal::ConfigUnproved};
   return AccessGranted{workspace->Name, workspace->Worth != 0 ? workspace->Worth : route.Worth};
--- a/src/workspace/access_rule.h
+++ b/src/workspace/access_rule.h
@@ -34,6 +34,9 @@
 /// never. Both times are on the boot clock.
 bool maySpeakForKeys(TimeMs provedAt, DurationMs revocationTime, TimeMs now);
 
+/// @returns whether a header's value has a scheme, in any case.
+bool hasScheme(std::string_view credentials, std::string_view scheme);
+
 /// @returns the key in a header's value; empty if the value has another scheme.
 std::string_view keyIn(std::string_view credentials, std::string_view scheme);
 
