--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -187,6 +187,7 @@
     settings.RecordsDepartures = options.RecordsDepartures;
     settings.LocalService = ServiceName(options.LocalService);
     settings.HeartbeatInterval = options.HeartbeatInterval;
+    settings.InForceTime = 2 * MsPerSecond;
     settings.StoreAddress = options.StoreAddress;
     settings.MaxHeld = MaxHeld;
     return settings;
