Soak test: keys of workspaces, and one taken away under faults

The soak test ran no request with an API key, so nothing checked with real processes and faults that a request runs for the workspace of its key, that keys stay off upstreams, or that a key that was taken away runs nothing.

Royalties needs a key now; callers send one of five, one of which no workspace has. The upstream stand-in logs the workspace of each run, and each request that holds a key; the load generator prints the key of each outcome. A third into the faults one change takes a key away. It waits for the changes that may still declare the key, and repeats itself under its id until it is known to be accepted; a request sent later than revocation-time (4 s) after that must not run. A run in which the key isn't sent for at least a second after that time fails, as it would check nothing.

jasminectl key-digest prints what a declaration lists. The key comes from standard input, as arguments can be seen by other users of a host.

Ruled out: taking the key away while other changes are unsettled. A change that timed out could be accepted later and declare the key again, which is no fault of the nodes.

--- a/src/jasminectl.cpp
+++ b/src/jasminectl.cpp
@@ -6,10 +6,12 @@
 #include "settings.h"
 #include "timeline.h"
 #include "wire_func.h"
+#include "workspace/key_digest.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 #include <capnp/compat/json.h>
 #include <unistd.h>
 
@@ -68,6 +70,9 @@
     "  jasminectl apply DIR          applies the declarations in a directory as one version\n"
     "  jasminectl diff DIR           shows what apply would change\n"
     "  jasminectl validate DIR       checks declarations without contacting a node\n"
+    "  jasminectl key-digest         reads an API key from standard input and prints its digest, "
+    "as\n"
+    "                                declarations of workspaces list it; contacts no node\n"
     "  jasminectl get                prints the configuration held by a node\n"
     "  jasminectl history            lists the accepted changes\n"
     "  jasminectl rollout start SERVICE --to VERSION --within S [--id ID]\n"
@@ -131,6 +136,8 @@
     const std::string subcommand = argument(0);
     if (subcommand == "validate")
       return validate();
+    if (subcommand == "key-digest")
+      return keyDigest();
     if (!connect()) {
       std::cerr << "jasminectl: no node reachable at " << Values.text("node") << ": " << Error
                 << "\n";
@@ -229,6 +236,20 @@
     return ExitOk;
   }
 
+  /// Reads the key from standard input, as arguments can be seen by other users of the host.
+  static int keyDigest() {
+    std::string key;
+    std::getline(std::cin, key);
+    if (!key.empty() && key.back() == '\r')
+      key.pop_back();
+    if (key.empty() || key.find_first_of(" \t") != std::string::npos) {
+      std::cerr << "jasminectl: key-digest requires a key without spaces in the first line\n";
+      return ExitUsage;
+    }
+    std::cout << "[" << absl::StrJoin(digestOfKey(key), ", ") << "]\n";
+    return ExitOk;
+  }
+
   int apply(bool dryRun) {
     const auto objects = readDeclarationDirectory(argument(1));
     const absl::Status valid = objects.ok() ? validateDeclarations(*objects) : objects.status();
--- a/standins/upstream_standin.cpp
+++ b/standins/upstream_standin.cpp
@@ -45,7 +45,10 @@
     {"leaving", SettingType::Choice, 0, 0, "no", "", "State in responses that it leaves", "no,yes"},
     {"seed", SettingType::Number, 0, 1000000000, "1", "", "Seed of the random failures"},
     {"log-runs", SettingType::Choice, 0, 0, "no", "",
-     "Print the idempotency key of each request when it starts", "no,yes"},
+     "Print the idempotency key of each request when it starts, who sent it and for which "
+     "workspace; "
+     "and each request that holds an API key",
+     "no,yes"},
 };
 
 constexpr int StatusMisdirected = 421;
@@ -86,18 +89,24 @@
     if (InFlight > Slots) {
       ++Overruns;
     }
+    const bool logRuns = Values.text("log-runs") == "yes";
+    if (logRuns && evhttp_find_header(evhttp_request_get_input_headers(request), "authorization"))
+      std::cerr << "saw-key " + path + "\n";
     const char *key =
         evhttp_find_header(evhttp_request_get_input_headers(request), "idempotency-key");
     if (key != nullptr)
       ++RunsByKey[key];
     // Each line is one unbuffered write, so the run is logged even if the process is killed next.
-    if (key != nullptr && Values.text("log-runs") == "yes") {
+    if (key != nullptr && logRuns) {
+      const char *workspace =
+          evhttp_find_header(evhttp_request_get_input_headers(request), "x-workspace");
       const char *origin =
           evhttp_find_header(evhttp_request_get_input_headers(request), "x-sent-to");
       std::cerr << "run " + std::string(key) + " " + Values.text("service") + " " + path + " " +
                        (LastCaller.empty() ? "none" : LastCaller) + " " +
                        (origin == nullptr ? "none 0" : origin) + " " +
-                       std::to_string(wallClockMs()) + "\n";
+                       std::to_string(wallClockMs()) + " " +
+                       (workspace == nullptr ? "none" : workspace) + "\n";
     }
     ++RequestCount;
     scheduleReply(request, path);
--- a/tests/fault_soak.sh
+++ b/tests/fault_soak.sh
@@ -2,7 +2,8 @@
 # Randomised soak test with real processes on loopback. Under load and configuration changes, it
 # kills, pauses, stops and restarts processes; delays, resets and blocks connections (in one or both
 # directions) through a proxy; makes the store unavailable, slow or lose responses; delivers
-# heartbeats of earlier upstreams late, with clocks that differ between hosts; and rewrites settings.
+# heartbeats of earlier upstreams late, with clocks that differ between hosts; rewrites settings; and
+# takes away the API key of some callers.
 # Compares the outcomes reported to callers with the runs that the upstreams logged.
 # Arguments: build folder, seed, duration of the faults in seconds, hosts.
 set -u
@@ -21,6 +22,10 @@
 UNNAMED=7
 # Time for a changed settings file to take effect: a second, and some for a busy machine.
 SETTINGS_TIME_MS=1500
+# Callers of royalties present the key of a workspace; those of lookups send theirs in vain.
+REVOCATION_TIME_MS=4000
+WORKSPACE_KEYS="desk-a:soak-key-a1 desk-a:soak-key-a2 desk-b:soak-key-b1 desk-b:soak-key-taken"
+CALLER_KEYS=soak-key-a1,soak-key-b1,soak-key-taken,soak-key-a2,soak-key-b1,soak-key-taken,soak-key-a1,soak-key-unknown
 SOURCE=$(cd "$(dirname "$0")/.." && pwd)
 . "$SOURCE/tools/mesh.sh"
 . "$SOURCE/tests/checks.sh"
@@ -45,7 +50,8 @@
 pid_of() { cat "$OUT/pid.$1.$2"; }
 run_node() {
   NODE_STORE=$NET.$1:$STORE_PORT start_node "$1" "dc$((($1 - 1) % 3 + 1))" --advertise "$NET.$1" \
-    --settings-file "$OUT/settings.$1"
+    --settings-file "$OUT/settings.$1" \
+    --revocation-time $REVOCATION_TIME_MS
   record_pid node "$1" "$NODE_PID"
 }
 run_upstream() { # N [SERVICE]: the clock of its host is up to 2 s ahead or behind
@@ -135,7 +141,8 @@
 gets_work() { # N: of requests at once, more than the other upstreams have slots for
   local total
   total=$(stats_total "$1")
-  curl -s -m 3 -Z --parallel-max 60 -o /dev/null "127.0.0.1:$(node_port "$1" 0)/$(service_of "$1")/[1-60]"
+  curl -s -m 3 -Z --parallel-max 60 -o /dev/null -H 'authorization: Bearer soak-key-a1' \
+    "127.0.0.1:$(node_port "$1" 0)/$(service_of "$1")/[1-60]"
   [ "$(stats_total "$1")" -gt "$total" ]
 }
 hold_up_heartbeat() { # N FIRST: heartbeats of an earlier process of another service arrive late
@@ -173,10 +180,53 @@
   sleep "$2"
   store_fault "$3"
 }
-change() { # WORTH
+keys_of() { # WORKSPACE: prints the digests of its keys as a JSON list
+  local it digests=""
+  for it in $WORKSPACE_KEYS; do
+    [ "${it%:*}" = "$1" ] || continue
+    [ "$it" = desk-b:soak-key-taken ] && [ -f "$OUT/revoking" ] && continue
+    digests="$digests,$(echo "${it#*:}" | "$BIN/jasminectl" key-digest)"
+  done
+  echo "[${digests#,}]"
+}
+keyed_declaration() { # WORTH: royalties is for callers with keys
   declaration "$1"
+  sed -i 's/"service": "royalties"/&, "needsKey": true/' "$OUT/w$1/routes.json"
+  echo "{\"workspaces\": [{\"name\": \"desk-a\", \"keys\": $(keys_of desk-a)}," \
+    "{\"name\": \"desk-b\", \"keys\": $(keys_of desk-b)}]}" >"$OUT/w$1/workspaces.json"
+}
+change() { # WORTH
+  keyed_declaration "$1"
   timeout 20 "$BIN/jasminectl" --node "$CTL_NODES" apply "$OUT/w$1" "${@:2}" >>"$OUT/changes.txt" 2>&1
 }
+settle_change() { # WORTH: repeats the change under its id until it is known whether it was accepted
+  local code
+  mkdir "$OUT/unsettled.$1"
+  keyed_declaration "$1"
+  repeat_change "$1"
+  code=$?
+  rmdir "$OUT/unsettled.$1"
+  return $code
+}
+repeat_change() {
+  local code
+  for _ in $(seq 40); do
+    timeout 10 "$BIN/jasminectl" --node "$CTL_NODES" --operation-id "soak-$SEED-$1" \
+      apply "$OUT/w$1" >>"$OUT/changes.txt" 2>&1
+    code=$?
+    # 5: store unavailable, 6: timeout, 7: outcome unknown, 8: no node reachable, 124: killed
+    case $code in 5 | 6 | 7 | 8 | 124) sleep 0.2 ;; *) return $code ;; esac
+  done
+  return $code
+}
+revoke_key() { # in one change; those that may still declare the key are settled before
+  local it
+  touch "$OUT/revoking"
+  for it in "$OUT"/unsettled.*; do
+    while [ -d "$it" ]; do sleep 0.1; done
+  done
+  settle_change 10 && now_ms >"$OUT/revoked"
+}
 inject() { # STEP: starts a random fault
   draw 18
   kind=$R
@@ -198,7 +248,7 @@
   8) exclusively store $n inject_link_fault "store$n" "$mode" "$pause" & ;;
   9) exclusively store 0 inject_store_fault down=1 "$pause" down=0 & ;;
   10) exclusively store 0 inject_store_fault 'lose=40&delay=60' "$pause" 'lose=0&delay=0' & ;;
-  11) change $((20 + $1)) & ;;
+  11) settle_change $((20 + $1)) & ;;
   12) exclusively upstream $n replace_upstream $n "$pause" & ;;
   13) exclusively upstream $n kill_node_in_drain $n "$pause" & ;;
   14) exclusively upstream $n exclusively node $n exclusively gate $n exclusively rpc $n hold_up_heartbeat $n again & ;;
@@ -238,12 +288,14 @@
 # --- Load and faults ---
 
 "$BIN/jasmine_load" --targets "${TARGETS#,}" --rate 150 --seconds $((SECONDS_OF_FAULTS + 4)) \
-  --seed "$SEED" --mix GET:/lookups:2,POST:/royalties:2 --resends 4 --outcomes yes \
+  --seed "$SEED" --mix GET:/lookups:2,POST:/royalties:2 --resends 4 --outcomes yes --api-keys $CALLER_KEYS \
   >"$OUT/load.json" 2>"$OUT/outcomes.txt" &
 LOAD=$!
 record_pid load 0 $LOAD
 step=0
 END=$(($(date +%s) + SECONDS_OF_FAULTS))
+# Early, so that callers send the key long after the change.
+(sleep $((SECONDS_OF_FAULTS / 3)) && revoke_key) &
 while [ "$(date +%s)" -lt $END ]; do
   step=$((step + 1))
   inject $step
@@ -251,6 +303,7 @@
   sleep 0.$((R + 2))
 done
 wait $LOAD
+LOAD_END=$(now_ms)
 # Waits for the faults that are still active.
 wait
 
@@ -302,6 +355,45 @@
     END { print "callers checked: " checked + 0; exit bad || checked < 100 }'
 }
 check "each request names the service of its settings" names_the_settings
+names_the_workspace() { # of the key that the caller sent; none where the route is public
+  cat "$OUT"/upstream*.log | awk -v outcomes="$OUT/outcomes.txt" -v keys="$WORKSPACE_KEYS" '
+    BEGIN {
+      n = split(keys, list, " ")
+      for (i = 1; i <= n; i++) { split(list[i], part, ":"); owner[part[2]] = part[1] }
+      while ((getline line < outcomes) > 0) {
+        split(line, part, " ")
+        if (part[1] == "key") sent[part[2]] = part[4]
+      }
+    }
+    $1 == "run" && $3 == "lookups" && $9 != "none" { print "workspace on a public route: " $0; bad = 1 }
+    $1 == "run" && $3 == "royalties" {
+      checked++
+      if (!(sent[$2] in owner) || owner[sent[$2]] != $9) { print "wrong workspace: " $0 ", key " sent[$2]; bad = 1 }
+    }
+    END { print "workspaces checked: " checked + 0; exit bad || checked < 100 }'
+}
+check "each request runs for the workspace of its key" names_the_workspace
+check "no upstream gets an API key" [ "$(cat "$OUT"/upstream*.log | grep -c '^saw-key')" = 0 ]
+check "a key is taken away, and is sent for long after" \
+  [ "$(cat "$OUT/revoked" 2>/dev/null || echo "$LOAD_END")" -lt $((LOAD_END - REVOCATION_TIME_MS - 1000)) ]
+no_run_after_revocation() { # compares the time at which the caller sent the request
+  cat "$OUT"/upstream*.log | awk -v outcomes="$OUT/outcomes.txt" -v revoked="$(cat "$OUT/revoked")" \
+    -v grace=$REVOCATION_TIME_MS '
+    BEGIN {
+      if (revoked == "") exit bad = 1
+      while ((getline line < outcomes) > 0) {
+        split(line, part, " ")
+        if (part[1] == "key") sent[part[2]] = part[4]
+      }
+    }
+    $1 == "run" && $3 == "royalties" && sent[$2] == "soak-key-taken" {
+      n[$7 <= revoked]++
+      if ($7 > revoked) last = $7 - revoked > last ? $7 - revoked : last
+      if ($7 > revoked + grace) { print "ran " $7 - revoked " ms after its key was taken away: " $0; bad = 1 }
+    }
+    END { print "runs with the key: " n[1] + 0 " before, " n[0] + 0 " after, up to " last + 0 " ms"; exit bad || !n[1] }'
+}
+check "no request runs with a key that was taken away before" no_run_after_revocation
 for n in $(seq $HOSTS); do
   TRIES=20 check "upstream $n gets work after the faults" eventually gets_work "$n"
 done
--- a/tools/jasmine_load.cpp
+++ b/tools/jasmine_load.cpp
@@ -39,11 +39,13 @@
     {"timeout", SettingType::Number, 1, 600000, "5000", "ms", "Response timeout of an attempt"},
     {"seed", SettingType::Number, 0, 1000000000, "1", "",
      "Seed of the request mix and of the idempotency keys"},
+    {"api-keys", SettingType::Text, 0, 4096, "", "",
+     "API keys of the callers, comma-separated; requests take them in turn"},
     {"plain", SettingType::Choice, 0, 0, "no", "",
      "Accept responses without an outcome header, as upstreams send them when called directly",
      "no,yes"},
-    {"outcomes", SettingType::Choice, 0, 0, "no", "", "Print the outcome of each idempotency key",
-     "no,yes"},
+    {"outcomes", SettingType::Choice, 0, 0, "no", "",
+     "Print the outcome of each idempotency key, and the API key sent with it", "no,yes"},
     {"versions", SettingType::Choice, 0, 0, "no", "",
      "Print the number of responses of each upstream version by second", "no,yes"},
 };
@@ -62,7 +64,8 @@
 struct Request {
   std::uint64_t Number = 0;
   const RequestKind *Kind = nullptr;
-  std::string Key; ///< Idempotency key, empty unless a POST.
+  std::string Key;    ///< Idempotency key, empty unless a POST.
+  std::string ApiKey; ///< Empty: none is sent.
   std::uint32_t Attempts = 0;
   bool MayHaveRun = false;
   std::uint64_t ScheduledUs = 0; ///< Scheduled send time.
@@ -72,6 +75,7 @@
 struct KeyRecord {
   bool Answered = false;
   bool MayHaveRun = false;
+  std::string ApiKey;
   long Runs = 0;
 };
 
@@ -92,7 +96,8 @@
   LoadGenerator(event_base *base, Settings values)
       : Base(base), Values(std::move(values)), Pool(base, MaxResponseBytes),
         Random(static_cast<unsigned>(Values.number("seed"))), Targets(Values.list("targets")),
-        SendTimer(base, [this] { sendDue(); }), EndTimer(base, [this] { collectRuns(); }) {
+        ApiKeys(Values.list("api-keys")), SendTimer(base, [this] { sendDue(); }),
+        EndTimer(base, [this] { collectRuns(); }) {
     for (const std::string &it : Values.list("mix")) {
       const std::vector<std::string> parts = absl::StrSplit(it, ':');
       RequestKind kind{parts.at(0), parts.at(1), 1};
@@ -142,7 +147,7 @@
                   << (record.Answered     ? "answered"
                       : record.MayHaveRun ? "unknown"
                                           : "not-run")
-                  << "\n";
+                  << " " << (record.ApiKey.empty() ? "none" : record.ApiKey) << "\n";
     }
     if (Values.text("versions") == "yes") {
       for (const auto &[second, counts] : Versions) {
@@ -186,9 +191,12 @@
     request->Number = ++Totals.Sent;
     request->Kind = &RequestKinds[WeightedKinds[Random() % WeightedKinds.size()]];
     request->ScheduledUs = scheduledUs;
+    // Each key is sent to each target.
+    if (!ApiKeys.empty())
+      request->ApiKey = ApiKeys[request->Number / Targets.size() % ApiKeys.size()];
     if (request->Kind->Method == "POST") {
       request->Key = absl::StrCat("load-", Values.number("seed"), "-", request->Number);
-      Keys[request->Key];
+      Keys[request->Key].ApiKey = request->ApiKey;
     }
     ++OpenRequests;
     runAfter(static_cast<DurationMs>(Values.number("distance")),
@@ -221,6 +229,8 @@
     const std::string &target = Targets[(request->Number + request->Attempts) % Targets.size()];
     call.Headers = {{"x-request-token", absl::StrCat(request->Number)},
                     {"x-sent-to", absl::StrCat(target, " ", wallClockMs())}};
+    if (!request->ApiKey.empty())
+      call.Headers.push_back({"authorization", "Bearer " + request->ApiKey});
     if (!request->Key.empty()) {
       call.Headers.push_back({header::Key, request->Key});
       call.Body = makeBuffer("{\"amount\": 1}");
@@ -324,6 +334,7 @@
   HttpPool Pool;
   std::mt19937_64 Random;
   std::vector<std::string> Targets;
+  std::vector<std::string> ApiKeys;
   std::vector<RequestKind> RequestKinds;
   std::vector<std::size_t> WeightedKinds;
   std::map<std::string, KeyRecord> Keys;
