Soak test: a workspace with a quota

Nothing checked with real processes that a quota holds over all nodes while nodes are killed and cut off. A third of the callers send the key of a workspace with a quota, and for more than it allows; in any 5 s no more than rate x 5.5 + burst + 5 runs may start. At least 20 runs are needed, as a quota that lets nothing pass would pass too.

The bound counts runs by the upstreams' clocks, not credits: a request runs some time after it got its credit, so half a second of the rate and five requests are allowed for.

--- a/tests/fault_soak.sh
+++ b/tests/fault_soak.sh
@@ -24,8 +24,13 @@
 SETTINGS_TIME_MS=1500
 # Callers of royalties present the key of a workspace; those of lookups send theirs in vain.
 REVOCATION_TIME_MS=4000
-WORKSPACE_KEYS="desk-a:soak-key-a1 desk-a:soak-key-a2 desk-b:soak-key-b1 desk-b:soak-key-taken"
-CALLER_KEYS=soak-key-a1,soak-key-b1,soak-key-taken,soak-key-a2,soak-key-b1,soak-key-taken,soak-key-a1,soak-key-unknown
+WORKSPACE_KEYS="desk-a:soak-key-a1 desk-a:soak-key-a2 desk-b:soak-key-b1 desk-b:soak-key-taken desk-c:soak-key-c1"
+CALLER_KEYS=soak-key-a1,soak-key-c1,soak-key-taken,soak-key-a2,soak-key-c1,soak-key-b1,soak-key-taken,soak-key-c1,soak-key-unknown
+# The quota of desk-c, whose callers ask for more; requests per second, and requests.
+QUOTA_RATE=10
+QUOTA_BURST=10
+# Requests that got their credit in time and run later, as a link is slow or a process paused.
+QUOTA_SLACK=5
 SOURCE=$(cd "$(dirname "$0")/.." && pwd)
 . "$SOURCE/tools/mesh.sh"
 . "$SOURCE/tests/checks.sh"
@@ -193,7 +198,9 @@
   declaration "$1"
   sed -i 's/"service": "royalties"/&, "needsKey": true/' "$OUT/w$1/routes.json"
   echo "{\"workspaces\": [{\"name\": \"desk-a\", \"keys\": $(keys_of desk-a)}," \
-    "{\"name\": \"desk-b\", \"keys\": $(keys_of desk-b)}]}" >"$OUT/w$1/workspaces.json"
+    "{\"name\": \"desk-b\", \"keys\": $(keys_of desk-b)}," \
+    "{\"name\": \"desk-c\", \"keys\": $(keys_of desk-c)," \
+    "\"ratePerSecond\": $QUOTA_RATE, \"burst\": $QUOTA_BURST}]}" >"$OUT/w$1/workspaces.json"
 }
 change() { # WORTH
   keyed_declaration "$1"
@@ -394,6 +401,18 @@
     END { print "runs with the key: " n[1] + 0 " before, " n[0] + 0 " after, up to " last + 0 " ms"; exit bad || !n[1] }'
 }
 check "no request runs with a key that was taken away before" no_run_after_revocation
+keeps_the_quota() { # in any 5 s; half a second more, for credits and runs that come later
+  cat "$OUT"/upstream*.log | awk '$1 == "run" && $9 == "desk-c" { print $8 }' | sort -n |
+    awk -v limit=$((QUOTA_RATE * 11 / 2 + QUOTA_BURST + QUOTA_SLACK)) '
+    { time[++n] = $1
+      while (time[n] - time[first + 1] >= 5000) first++
+      if (n - first > most) { most = n - first; at = $1 } }
+    END {
+      print "runs within the quota: " n + 0 ", up to " most + 0 " in 5 s (until " at "), limit " limit
+      exit most > limit || n < 20
+    }'
+}
+check "a workspace gets no more than its quota over all nodes" keeps_the_quota
 for n in $(seq $HOSTS); do
   TRIES=20 check "upstream $n gets work after the faults" eventually gets_work "$n"
 done
