Give no version out again that the store has lost

A store that comes back from an older copy has an older head. A change took that head's version plus one, which the nodes hold already for what was lost. They took the new content for the version that they have: it was reported as accepted and in force, and no node applied it. Seen with real processes: a change, a store that lost four seconds, then a change that took a key away. Callers ran with the key 9.7 s after it, up to the next change; 160 runs.

A change now takes a version above both the head's and the one that its node holds. Declarations that equal the store's older content are written as a new version too, as the nodes hold other content.

Not tried: nodes that write the lost head again. They would race with the operator's change. Open: a node that doesn't hold the newest version itself when it accepts a change right after the loss.

--- a/src/config/change_cmd.cpp
+++ b/src/config/change_cmd.cpp
@@ -104,11 +104,16 @@
   absl::StatusOr<std::vector<ConfigObjectPtr>> objects = Request.Change(**base);
   if (!objects.ok())
     return failed(ChangeStatus::Refused, std::string(objects.status().message()));
-  NextSnapshot = makeSnapshot(Current.Version + 1, *objects);
+  // A store that came back from an older copy knows none of the latest versions. Nodes that hold
+  // them would take a number given out again for the version that they have.
+  const ConfigVersion held = Held ? Held->Version : 0;
+  const bool storeLost = held > Current.Version;
+  NextSnapshot = makeSnapshot(std::max(Current.Version, held) + 1, *objects);
   if (absl::Status status = validateSnapshot(*NextSnapshot); !status.ok())
     return failed(ChangeStatus::Refused, std::string(status.message()));
   Changes = describeDelta(base->get(), diffSnapshots(base->get(), *NextSnapshot));
-  if (Request.DryRun || Changes.empty())
+  // Without changes, the nodes still hold the version that the store lost.
+  if (Request.DryRun || (Changes.empty() && !storeLost))
     return ChangeOutcome{ChangeStatus::Accepted,
                          Changes.empty() ? "nothing to change" : "valid; nothing was changed",
                          Current.Version, nullptr};
--- a/tests/change_test.cpp
+++ b/tests/change_test.cpp
@@ -235,6 +235,28 @@
              "v7");
 }
 
+// The store came back from an older copy: the nodes hold version 2, which its head doesn't know.
+BOOST_AUTO_TEST_CASE(a_version_that_the_store_lost_is_not_given_out_again) {
+  FakeStore store;
+  run(store, applyRequest("first", firstObjects()), nullptr, {});
+  const SnapshotPtr held = snapshotOf(2, secondObjects());
+  const ChangeOutcome other =
+      run(store, applyRequest("other", concurrentObjects(1)), held, {}).Outcome;
+  BOOST_TEST((other.Status == ChangeStatus::Accepted));
+  BOOST_TEST(other.Version == 3U);
+  BOOST_TEST(readAcceptedSnapshot(store)->Version == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(declarations_that_the_store_still_has_replace_a_version_that_it_lost) {
+  FakeStore store;
+  run(store, applyRequest("first", firstObjects()), nullptr, {});
+  const SnapshotPtr held = snapshotOf(2, secondObjects());
+  const ChangeOutcome again = run(store, applyRequest("again", firstObjects()), held, {}).Outcome;
+  BOOST_TEST((again.Status == ChangeStatus::Accepted));
+  BOOST_TEST(again.Version == 3U);
+  BOOST_TEST(readAcceptedSnapshot(store)->Digest == snapshotOf(3, firstObjects())->Digest);
+}
+
 BOOST_AUTO_TEST_CASE(invalid_rollouts_are_rejected_with_the_reason) {
   const SnapshotPtr base =
       snapshotOf(5, {service("lookups"), service("busy"), rollout("running", "busy", "v1", "v2")});
