Soak test: the store loses seconds

A tenth of the faults brings the store back from a copy of one to three seconds before. The change of the worth after the faults must be held by each node, not just reported as in force: a version that was given out twice passed for in force.

--- a/tests/fault_soak.sh
+++ b/tests/fault_soak.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Randomised soak test with real processes on loopback. Under load and configuration changes, it
 # kills, pauses, stops and restarts processes; delays, resets and blocks connections (in one or both
-# directions) through a proxy; makes the store unavailable, slow or lose responses; delivers
+# directions) through a proxy; makes the store unavailable, slow, lose responses or seconds; delivers
 # heartbeats of earlier upstreams late, with clocks that differ between hosts; rewrites settings; and
 # takes away the API key of some callers.
 # Compares the outcomes reported to callers with the runs that the upstreams logged.
@@ -202,6 +202,9 @@
     "{\"name\": \"desk-c\", \"keys\": $(keys_of desk-c)," \
     "\"ratePerSecond\": $QUOTA_RATE, \"burst\": $QUOTA_BURST}]}" >"$OUT/w$1/workspaces.json"
 }
+restore_store() { # SECONDS: the store comes back from a copy, without what was written since
+  curl -s -m 2 "127.0.0.1:$STORE_PORT/standin/restore?seconds=$1" >/dev/null
+}
 change() { # WORTH
   keyed_declaration "$1"
   timeout 20 "$BIN/jasminectl" --node "$CTL_NODES" apply "$OUT/w$1" "${@:2}" >>"$OUT/changes.txt" 2>&1
@@ -235,7 +238,7 @@
   settle_change 10 && now_ms >"$OUT/revoked"
 }
 inject() { # STEP: starts a random fault
-  draw 18
+  draw 20
   kind=$R
   draw $HOSTS
   n=$((R + 1))
@@ -261,6 +264,7 @@
   14) exclusively upstream $n exclusively node $n exclusively gate $n exclusively rpc $n hold_up_heartbeat $n again & ;;
   15) exclusively upstream $n exclusively node $n exclusively gate $n exclusively rpc $n hold_up_heartbeat $n first & ;;
   16 | 17) exclusively node $n rename_service $n & ;;
+  18 | 19) exclusively store 0 restore_store $((${pause%.*} + 1)) & ;;
   esac
 }
 
@@ -318,6 +322,12 @@
 
 check "all nodes are ready after the faults" eventually ready_nodes
 TRIES=3 check "a change is in force on all nodes after the faults" eventually change 99 --wait yes
+holds_last_change() { # N
+  timeout 10 "$BIN/jasminectl" --node "127.0.0.1:$(node_port "$1" 2)" --output json get | grep -q '"worth": 99'
+}
+for n in $(seq $HOSTS); do
+  check "node $n holds what the last change declares" holds_last_change "$n"
+done
 for field in crossed cut open doubled; do
   check "no request counted as $field" [ "$(number $field "$OUT/load.json")" = 0 ]
 done
