Keep a request's deadline while it is held up on a full link

Cause: a gate counted the time that a request had left from its arrival. Change: gates state their clock in responses; an ingress states the deadline on the clock of the gate, from the response that was least on its way. What comes too late is refused as not run. Ruled out: the count of bodies on their way (GONE without it too); the gate's own queue, which drops what its deadline has passed. peer_clock_test failed before, as the gate had only the time left.

--- a/src/routing/outcome_type.h
+++ b/src/routing/outcome_type.h
@@ -70,6 +70,10 @@
 /// In responses of a gate: requests per second, requests that may start now, and the upstream's
 /// process; comma-separated. In requests: the limit and the process, as the sender knows them.
 constexpr const char *Limit = "x-jasmine-limit";
+/// In responses of a gate: its process and its clock; see PeerTime.
+constexpr const char *Clock = "x-jasmine-clock";
+/// In requests: the deadline on the clock of the gate that they are sent to.
+constexpr const char *DeadlineAt = "x-jasmine-deadline-at";
 constexpr const char *Leaving = "x-jasmine-leaving"; ///< The upstream's process leaves; its name.
 constexpr const char *Reached = "x-jasmine-reached"; ///< The refused request reached an upstream.
 constexpr const char *RetryAfter = "retry-after";    ///< Seconds, with fractions.
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -1,6 +1,7 @@
 /// @file gate_task.cpp Gate of the local upstream: admission, key claims, forwarding, evidence.
 #include "traffic/gate_task.h"
 
+#include "balance/peer_clock.h"
 #include "secret.h"
 #include "traffic/gate_context.h"
 
@@ -40,12 +41,15 @@
 }
 
 /// @returns the request as admission control sees it, without ticket and fingerprint.
-GateRequest gateRequestOf(const HeaderFields &fields, TimeMs now) {
+/// @param incarnation of this process.
+GateRequest gateRequestOf(const HeaderFields &fields, std::uint64_t incarnation, TimeMs now) {
   GateRequest request;
   request.Service = ServiceName(headerValue(fields, header::Service));
   request.Version = VersionLabel(headerValue(fields, header::Version));
   request.Worth = static_cast<std::uint32_t>(numericHeaderOr(fields, header::Worth, 1));
-  request.Deadline = now + numericHeaderOr(fields, header::DeadlineMs, 0);
+  request.Deadline =
+      statedDeadline(now + numericHeaderOr(fields, header::DeadlineMs, 0),
+                     decodePeerTime(headerValue(fields, header::DeadlineAt)), incarnation);
   request.MayQueue = findHeader(fields, header::MayQueue) != nullptr;
   if (findHeader(fields, header::Objective) != nullptr)
     request.ObjectiveAt = now + numericHeaderOr(fields, header::Objective, 0);
@@ -135,7 +139,7 @@
   const TimeMs now = steadyClockMs();
   AdmissionResult result{Admission::Refused, Refusal::NoConfig, std::nullopt};
   if (View)
-    result = AdmissionControl.checkHeader(gateRequestOf(fields, now), now);
+    result = AdmissionControl.checkHeader(gateRequestOf(fields, Settings.Incarnation, now), now);
   if (result.Result != Admission::Refused)
     return std::nullopt;
   Stats.recordGateRefusal(result.Reason);
@@ -160,7 +164,7 @@
   context.Request = std::move(request);
   context.ArrivedAt = now;
   const HeaderFields &fields = context.Request.Headers;
-  context.Attributes = gateRequestOf(fields, now);
+  context.Attributes = gateRequestOf(fields, Settings.Incarnation, now);
   context.Route = context.Attributes.Route;
   if (findHeader(context.Request.Headers, header::Once) != nullptr)
     context.Key = headerValue(context.Request.Headers, header::Key);
@@ -208,6 +212,7 @@
   if (!process.empty() && process == LeavingProcess)
     fields.push_back({header::Leaving, process});
   const TimeMs now = steadyClockMs();
+  fields.push_back({header::Clock, encodePeerTime({Settings.Incarnation, now})});
   if (const double limit = AdmissionControl.limitPerSecond(now); limit > 0)
     fields.push_back(
         {header::Limit,
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -393,6 +393,8 @@
     call.Headers.push_back({header::Objective, absl::StrCat(context.Route.Objective - passed)});
   }
   call.Headers.push_back({header::DeadlineMs, absl::StrCat(call.Timeout)});
+  if (const auto at = GateClocks.timeAt(endpoint.Host, context.Deadline); at.has_value())
+    call.Headers.push_back({header::DeadlineAt, encodePeerTime(*at)});
   call.Headers.push_back({header::Secret, Settings.Secret});
   if (!Settings.Http.CallerService.empty() && !context.CallerName.empty())
     call.Headers.push_back({Settings.Http.CallerService, context.CallerName.str()});
@@ -471,6 +473,9 @@
   EndpointStates.recordDone(context.Host);
   if (const std::optional<LoadReport> load = parseLoadReport(result.Headers); load.has_value())
     EndpointStates.recordLoad(context.Host, *load, now);
+  if (const auto clock = decodePeerTime(headerValue(result.Headers, header::Clock));
+      clock.has_value())
+    GateClocks.record(context.Host, *clock, now);
   if (const std::string process = headerValue(result.Headers, header::Leaving); !process.empty())
     EndpointStates.recordLeaving(context.Host, process);
   const Refusal reason = refusalOf(result);
@@ -586,7 +591,8 @@
   std::erase_if(response.Headers, [](const HeaderField &field) {
     return absl::EqualsIgnoreCase(field.Name, header::Load) ||
            absl::EqualsIgnoreCase(field.Name, header::Limit) ||
-           absl::EqualsIgnoreCase(field.Name, header::Leaving);
+           absl::EqualsIgnoreCase(field.Name, header::Leaving) ||
+           absl::EqualsIgnoreCase(field.Name, header::Clock);
   });
   response.Headers.push_back({header::Host, context.Host.str()});
   response.Body = std::move(result.Body);
--- a/src/traffic/ingress_task.h
+++ b/src/traffic/ingress_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balance/large_body.h"
+#include "balance/peer_clock.h"
 #include "http/http_server.h"
 #include "traffic/caller_service.h"
 #include "traffic/gate_task.h"
@@ -102,6 +103,7 @@
   HttpServer Server;
   RoutingViewPtr View;
   EndpointStats EndpointStates;
+  PeerClocks GateClocks;
   std::map<ServiceName, RetryBudget> Budgets;
   double MaxRetryTokens = 0; ///< Limit of each service's retry budget.
   std::mt19937_64 Random;
