--- a/standins/store_standin.cpp
+++ b/standins/store_standin.cpp
@@ -27,7 +27,7 @@
 };
 
 /// Names the era of the store in its answers.
-constexpr const char *EraHeader = "x-store-era";
+constexpr const char *EraHeader = "x-standin-era";
 /// Seconds for which copies are kept.
 constexpr std::size_t MaxCopies = 30;
 
