Pass capacity and revocation time by environment variables, which may be empty

The platform fills variables of the deploy file as well, and gives an empty one where a deployment has no such bound; it leaves the default now. settings_test failed before: an empty variable was no number.

--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -215,11 +215,12 @@
         const auto it = file.find(row.Name);
         if (it != file.end())
           value = it->second;
-        if (variable != nullptr)
+        if (variable != nullptr && *variable != '\0')
           value = variable;
       }
       if (absl::Status status = check(row, value); !status.ok()) {
-        const bool fromFile = result.count(row.Name) == 0 && variable == nullptr && !path.empty();
+        const bool fromFile = result.count(row.Name) == 0 &&
+                              (variable == nullptr || *variable == '\0') && !path.empty();
         return fromFile ? absl::InvalidArgumentError(
                               absl::StrCat("settings file \"", path, "\": ", status.message()))
                         : status;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -4,6 +4,7 @@
 
 #include "settings.h"
 
+#include <cstdlib>
 #include <vector>
 
 using namespace jasmineloom;
@@ -58,3 +59,18 @@
     }
   }
 }
+
+// Guards against a start that fails because a deployment leaves a value open.
+BOOST_AUTO_TEST_CASE(an_empty_environment_variable_leaves_the_default) {
+  const std::vector<SettingRow> table = {
+      {"some-time", SettingType::Number, 0, 600, "7", "ms", "A time"}};
+  const char *const arguments[] = {"program"};
+  for (const auto &[value, expected] :
+       std::vector<std::pair<const char *, long>>{{"", 7}, {"9", 9}}) {
+    setenv("JASMINE_SOME_TIME", value, 1);
+    const absl::StatusOr<ParsedSettings> parsed = parseSettings("program", "", table, 1, arguments);
+    BOOST_REQUIRE(parsed.ok());
+    BOOST_TEST(parsed->Values.number("some-time") == expected);
+  }
+  unsetenv("JASMINE_SOME_TIME");
+}
