--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -112,7 +112,7 @@
 }
 /// @returns a free port below the range from which the kernel takes ports of its own.
 inline int freePort() {
-  static int next = 12000 + static_cast<int>(getpid() % 290) * 64;
+  static int next = 12000 + static_cast<int>(getpid() % 145) * 128;
   for (int n = 0; n < 2000; ++n) {
     const int port = next++;
     if (next > 31000)
