Keep the proportion of weights in every form of a number

Evidence: a unit test of the decoder alone shows the wrong shares, without nodes or draws. Ruled out: the draw (32 bits, too few for a part below a 2^32nd of the sum, but not for 0.5 of 2) and the transfer between nodes (the reading node already had the wrong weight).

Why it works: a weight is a double from the decoder to the draw; shares are formed after division by the largest weight, so no sum overflows, and the draw has 53 bits of its own. Whole weights of 32 bits stay in their message field, so nodes of both versions compute the same digests for all that the earlier one can hold.

Changed tests: a_split_follows_its_weights draws over the whole range of 64 bits, as the draw is no longer taken modulo the sum (same counts); the check of 1e300 and 1e12 asks for the bounds of a route in place of the largest integers, which the configuration then refused as a whole. RefusedEntries::record takes the reason.

--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -39,7 +39,8 @@
 
 struct SplitPart {
   service @0 :Text;
-  weight @1 :UInt32;
+  weight @1 :UInt32;        # Whole weights of up to 32 bits, which nodes of all versions read.
+  exactWeight @2 :Float64;  # Any other weight; weight is 0 then. In JSON, weight holds either.
 }
 
 struct Rollout {
--- a/src/balance/explanation.cpp
+++ b/src/balance/explanation.cpp
@@ -1,11 +1,13 @@
 /// @file explanation.cpp Explains to operators where a request would go, without sending it.
 #include "balance/explanation.h"
 
+#include "config/config_func.h"
 #include "rollout/rollout_func.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace jasmineloom {
@@ -141,16 +143,13 @@
   std::vector<SplitPart> parts = route->Split;
   if (parts.empty())
     parts.push_back({route->Service, 1});
-  std::uint64_t sum = 0;
-  for (const SplitPart &part : parts)
-    sum += part.Weight;
-  for (const SplitPart &part : parts) {
-    const ServiceView *service = view->serviceNamed(part.Service);
+  const std::vector<double> shares = splitShares(parts);
+  for (std::size_t n = 0; n < parts.size(); ++n) {
+    const ServiceView *service = view->serviceNamed(parts[n].Service);
     if (service == nullptr)
       continue;
     ExplainedService explained = explainService(*view, *service, stats, *route, random, now);
-    explained.SharePerMille =
-        sum == 0 ? 0 : static_cast<std::uint32_t>(part.Weight * std::uint64_t{FullShare} / sum);
+    explained.SharePerMille = static_cast<std::uint32_t>(std::lround(shares[n] * FullShare));
     explanation.Services.push_back(std::move(explained));
   }
   return explanation;
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -1,11 +1,13 @@
 /// @file placement.cpp Load balancing: chooses the upstream of a request from observed load.
 #include "balance/placement.h"
 
+#include "config/config_func.h"
 #include "mesh/tree_func.h"
 #include "rollout/rollout_func.h"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace jasmineloom {
 
@@ -445,19 +447,31 @@
   return choose();
 }
 
+namespace {
+
+/// @returns a number from 0 to below 1 that is uniform if \p draw is.
+double fractionOf(std::uint64_t draw) {
+  constexpr int MantissaBits = std::numeric_limits<double>::digits;
+  constexpr int DrawBits = std::numeric_limits<std::uint64_t>::digits;
+  return std::ldexp(static_cast<double>(draw >> (DrawBits - MantissaBits)), -MantissaBits);
+}
+
+} // namespace
+
 const ServiceName &chooseService(const RouteSpec &route, std::uint64_t draw) {
-  std::uint64_t sum = 0;
-  for (const SplitPart &part : route.Split)
-    sum += part.Weight;
-  if (sum == 0)
-    return route.Service;
-  std::uint64_t left = draw % sum;
-  for (const SplitPart &part : route.Split) {
-    if (left < part.Weight)
-      return part.Service;
-    left -= part.Weight;
+  const std::vector<double> shares = splitShares(route.Split);
+  const ServiceName *chosen = &route.Service;
+  double left = fractionOf(draw);
+  for (std::size_t n = 0; n < shares.size(); ++n) {
+    if (shares[n] == 0)
+      continue;
+    // Also taken if rounding leaves the sum of the shares just below the draw.
+    chosen = &route.Split[n].Service;
+    if (left < shares[n])
+      break;
+    left -= shares[n];
   }
-  return route.Service;
+  return *chosen;
 }
 
 } // namespace jasmineloom
--- a/src/config/config_func.cpp
+++ b/src/config/config_func.cpp
@@ -11,15 +11,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace jasmineloom {
 
 namespace {
 
-constexpr DurationMs MaxRouteDeadline = 600 * MsPerSecond;
 constexpr std::size_t MaxNameLength = 128;
-constexpr std::uint32_t MaxRouteAttempts = 16;
 
 template <typename SpecT> std::vector<const SpecT *> objectsOfKind(const Snapshot &snapshot) {
   std::vector<const SpecT *> found;
@@ -52,6 +51,8 @@
   return absl::OkStatus();
 }
 
+std::string text(capnp::Text::Reader from) { return {from.cStr(), from.size()}; }
+
 bool isAmount(double value) { return std::isfinite(value) && value >= 0; }
 
 /// Validates one object and its references to other objects of the snapshot.
@@ -97,13 +98,15 @@
     };
     if (findService(Config, spec.Service) == nullptr)
       return missing(spec.Service);
-    std::uint64_t sum = 0;
+    bool hasWeight = false;
     for (const SplitPart &part : spec.Split) {
       if (findService(Config, part.Service) == nullptr)
         return missing(part.Service);
-      sum += part.Weight;
+      if (!isAmount(part.Weight))
+        return invalid("route", spec.Name.str(), "a weight of split must not be negative");
+      hasWeight |= part.Weight > 0;
     }
-    if (!spec.Split.empty() && sum == 0)
+    if (!spec.Split.empty() && !hasWeight)
       return invalid("route", spec.Name.str(), "the weights of split add up to 0");
     return absl::OkStatus();
   }
@@ -144,6 +147,12 @@
   }
 };
 
+/// @returns whether wire::SplitPart::weight can hold the weight.
+bool fitsWholeWeight(double weight) {
+  return weight >= 0 && weight <= std::numeric_limits<std::uint32_t>::max() &&
+         weight == std::floor(weight);
+}
+
 void writeService(wire::Service::Builder to, const ServiceSpec &spec) {
   to.setName(spec.Name.str());
   to.setInitialVersion(spec.Version.str());
@@ -165,10 +174,8 @@
   to.setLargeBody(spec.LargeBody);
   auto split = to.initSplit(static_cast<unsigned>(spec.Split.size()));
   unsigned n = 0;
-  for (const SplitPart &part : spec.Split) {
-    split[n].setService(part.Service.str());
-    split[n++].setWeight(part.Weight);
-  }
+  for (const SplitPart &part : spec.Split)
+    writeSplitPart(split[n++], part);
 }
 
 void writeWorkspace(wire::Workspace::Builder to, const WorkspaceSpec &spec) {
@@ -182,8 +189,6 @@
     keys.set(n++, kj::arrayPtr(key.data(), key.size()));
 }
 
-std::string text(capnp::Text::Reader from) { return {from.cStr(), from.size()}; }
-
 ServiceSpec readService(wire::Service::Reader from) {
   return {ServiceName(text(from.getName())), VersionLabel(text(from.getInitialVersion())),
           from.getWarmUpMs(), from.getWarmUpPerSecond()};
@@ -203,7 +208,7 @@
   spec.NeedsKey = from.getNeedsKey();
   spec.LargeBody = from.getLargeBody();
   for (auto part : limitedList(from.getSplit(), MaxSplitParts))
-    spec.Split.push_back({ServiceName(text(part.getService())), part.getWeight()});
+    spec.Split.push_back(readSplitPart(part));
   return spec;
 }
 
@@ -240,6 +245,19 @@
 
 } // namespace
 
+void writeSplitPart(wire::SplitPart::Builder to, const SplitPart &part) {
+  to.setService(part.Service.str());
+  if (fitsWholeWeight(part.Weight))
+    to.setWeight(static_cast<std::uint32_t>(part.Weight));
+  else
+    to.setExactWeight(part.Weight);
+}
+
+SplitPart readSplitPart(wire::SplitPart::Reader from) {
+  const double exact = from.getExactWeight();
+  return {ServiceName(text(from.getService())), exact != 0 ? exact : from.getWeight()};
+}
+
 ObjectKey serviceKey(const ServiceName &name) { return ObjectKey("service/" + name.str()); }
 ObjectKey routeKey(const RouteName &name) { return ObjectKey("route/" + name.str()); }
 ObjectKey rolloutKey(const RolloutID &id) { return ObjectKey("rollout/" + id.str()); }
@@ -342,6 +360,22 @@
   return lines;
 }
 
+std::vector<double> splitShares(const std::vector<SplitPart> &split) {
+  double largest = 0;
+  for (const SplitPart &part : split)
+    largest = std::max(largest, part.Weight);
+  std::vector<double> shares(split.size(), 0);
+  if (largest == 0)
+    return shares;
+  // The sum of the weights themselves may be more than a double holds.
+  double sum = 0;
+  for (std::size_t n = 0; n < split.size(); ++n)
+    sum += shares[n] = split[n].Weight / largest;
+  for (double &share : shares)
+    share /= sum;
+  return shares;
+}
+
 const ServiceSpec *findService(const Snapshot &snapshot, const ServiceName &name) {
   return findObject<ServiceSpec>(snapshot, serviceKey(name));
 }
--- a/src/config/config_func.h
+++ b/src/config/config_func.h
@@ -36,6 +36,9 @@
 /// @returns one line for each object that a delta adds, changes or removes.
 std::vector<std::string> describeDelta(const Snapshot *base, const ConfigDelta &delta);
 
+/// @returns the share of each part in a split, 0 to 1; all 0 if no part has a weight.
+std::vector<double> splitShares(const std::vector<SplitPart> &split);
+
 const ServiceSpec *findService(const Snapshot &snapshot, const ServiceName &name);
 const RouteSpec *findRoute(const Snapshot &snapshot, const RouteName &name);
 const RolloutSpec *findRollout(const Snapshot &snapshot, const RolloutID &id);
@@ -48,6 +51,8 @@
 
 void writeObject(wire::ConfigObject::Builder to, const ConfigObject &object);
 ConfigObject readObject(wire::ConfigObject::Reader from);
+void writeSplitPart(wire::SplitPart::Builder to, const SplitPart &part);
+SplitPart readSplitPart(wire::SplitPart::Reader from);
 void writeRollout(wire::Rollout::Builder to, const RolloutSpec &spec);
 RolloutSpec readRollout(wire::Rollout::Reader from);
 void writeDelta(wire::ConfigUpdate::Builder to, const ConfigDelta &delta);
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -23,10 +23,14 @@
   auto operator<=>(const ServiceSpec &) const = default;
 };
 
+/// Bounds of what a route may state.
+constexpr DurationMs MaxRouteDeadline = 600 * MsPerSecond;
+constexpr std::uint32_t MaxRouteAttempts = 16;
+
 /// Share of a route's requests that goes to a service.
 struct SplitPart {
   ServiceName Service;
-  std::uint32_t Weight = 0; ///< Relative to the sum of the route's weights.
+  double Weight = 0; ///< Relative to the sum of the route's weights; finite and not negative.
   auto operator<=>(const SplitPart &) const = default;
 };
 
--- a/src/config/declarations.cpp
+++ b/src/config/declarations.cpp
@@ -2,7 +2,6 @@
 #include "config/declarations.h"
 
 #include <absl/strings/str_cat.h>
-#include <capnp/compat/json.h>
 #include <capnp/message.h>
 #include <kj/exception.h>
 
@@ -14,6 +13,49 @@
 
 namespace jasmineloom {
 
+namespace {
+
+/// Reads and writes the two fields for a weight as one number, `weight`.
+class SplitPartHandler final : public capnp::JsonCodec::Handler<wire::SplitPart> {
+public:
+  void encode(const capnp::JsonCodec & /*codec*/, wire::SplitPart::Reader input,
+              capnp::JsonValue::Builder output) const override {
+    const SplitPart part = readSplitPart(input);
+    auto fields = output.initObject(2);
+    fields[0].setName("service");
+    fields[0].initValue().setString(part.Service.str());
+    fields[1].setName("weight");
+    fields[1].initValue().setNumber(part.Weight);
+  }
+
+  void decode(const capnp::JsonCodec & /*codec*/, capnp::JsonValue::Reader input,
+              wire::SplitPart::Builder output) const override {
+    KJ_REQUIRE(input.isObject(), "an entry of split must be an object");
+    SplitPart part;
+    for (const auto field : input.getObject()) {
+      const kj::StringPtr name = field.getName();
+      const auto value = field.getValue();
+      if (name == "service") {
+        KJ_REQUIRE(value.isString(), "service of split must be a string");
+        part.Service = ServiceName(value.getString().cStr());
+      } else if (name == "weight") {
+        KJ_REQUIRE(value.isNumber(), "weight of split must be a number");
+        part.Weight = value.getNumber();
+      } else {
+        KJ_FAIL_REQUIRE("split has an unknown field", name);
+      }
+    }
+    writeSplitPart(output, part);
+  }
+};
+
+} // namespace
+
+void addDeclarationHandlers(capnp::JsonCodec &codec) {
+  static SplitPartHandler SplitParts;
+  codec.addTypeHandler(SplitParts);
+}
+
 absl::StatusOr<std::vector<ConfigObject>> parseDeclarations(const std::string &name,
                                                             const std::string &json) {
   capnp::MallocMessageBuilder message;
@@ -22,6 +64,7 @@
   const auto failed = kj::runCatchingExceptions([&] {
     capnp::JsonCodec codec;
     codec.setRejectUnknownFields(true);
+    addDeclarationHandlers(codec);
     codec.decode(kj::arrayPtr(json.data(), json.size()), root);
     objects = readDeclarations(root.asReader());
   });
--- a/src/config/declarations.h
+++ b/src/config/declarations.h
@@ -3,6 +3,8 @@
 
 #include "config/config_func.h"
 
+#include <capnp/compat/json.h>
+
 #include <string>
 #include <vector>
 
@@ -20,6 +22,9 @@
 /// Validates declarations offline, without the configuration in force.
 absl::Status validateDeclarations(const std::vector<ConfigObject> &objects);
 
+/// Makes a codec read and write declarations as operators write them.
+void addDeclarationHandlers(capnp::JsonCodec &codec);
+
 void writeDeclaredObjects(wire::Declarations::Builder to, const std::vector<ConfigObject> &objects);
 
 } // namespace jasmineloom
--- a/src/config/refused_entries.cpp
+++ b/src/config/refused_entries.cpp
@@ -6,16 +6,24 @@
 
 namespace jasmineloom {
 
-bool RefusedEntries::record(const std::string &key, const std::string &value) {
+bool RefusedEntries::record(const std::string &key, const std::string &value,
+                            const std::string &reason) {
   const std::uint64_t hash = XXH3_64bits(value.data(), value.size());
-  const auto [it, added] = Hashes.try_emplace(key, hash);
-  if (!added && it->second == hash)
+  const auto [it, added] = Entries.try_emplace(key);
+  if (!added && it->second.Hash == hash)
     return false;
-  it->second = hash;
+  it->second = {hash, reason};
   ++Total;
   return true;
 }
 
+std::map<std::string, std::string> RefusedEntries::reasons() const {
+  std::map<std::string, std::string> reasons;
+  for (const auto &[key, entry] : Entries)
+    reasons[key] = entry.Reason;
+  return reasons;
+}
+
 std::string describeInForce(ConfigVersion held) {
   if (held == 0)
     return "no configuration is in force, requests get 503";
--- a/src/config/refused_entries.h
+++ b/src/config/refused_entries.h
@@ -14,15 +14,23 @@
 class RefusedEntries {
 public:
   /// Records that an entry is refused.
+  /// @param reason names the object and the field.
   /// @returns whether this content was not refused before.
-  bool record(const std::string &key, const std::string &value);
+  bool record(const std::string &key, const std::string &value, const std::string &reason);
   /// Records that an entry is accepted, or removed.
-  void clear(const std::string &key) { Hashes.erase(key); }
+  void clear(const std::string &key) { Entries.erase(key); }
+  /// @returns the reasons of the entries that are refused at present, by key.
+  std::map<std::string, std::string> reasons() const;
   /// @returns number of refusals that were reported.
   std::uint64_t total() const { return Total; }
 
 private:
-  std::map<std::string, std::uint64_t> Hashes; ///< Of the refused content, by key.
+  struct RefusedEntry {
+    std::uint64_t Hash = 0; ///< Of the refused content.
+    std::string Reason;
+  };
+
+  std::map<std::string, RefusedEntry> Entries; ///< By key.
   std::uint64_t Total = 0;
 };
 
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -165,7 +165,7 @@
 }
 
 void ControlTask::refuseEntry(const StoreEntry &entry, const std::string &reason) {
-  if (Refused.record(entry.Key, entry.Value))
+  if (Refused.record(entry.Key, entry.Value, reason))
     recordEvent(
         "config", entry.Key,
         absl::StrCat("refused: ", reason, "; ", describeInForce(Node.config().heldVersion())));
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -422,6 +422,7 @@
   figures.ProofAge = PublishedProof == 0 ? 0 : bootClockMs() - PublishedProof;
   figures.DocumentAge = documentAge(now);
   figures.RefusedDocuments = Refused.total();
+  figures.RefusedNow = Refused.reasons();
   figures.Transfers = Transfers;
   figures.LinkFailures = LinkFailureCount;
   figures.EvidenceReports = EvidenceReports;
--- a/src/environment.cpp
+++ b/src/environment.cpp
@@ -9,6 +9,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
+
 namespace jasmineloom {
 
 namespace {
@@ -35,7 +37,7 @@
   announcement.Version = VersionLabel(queryText(query, "version"));
   announcement.Address = queryText(query, "address");
   announcement.Draining = queryText(query, "draining") == "1";
-  announcement.WarmUpLeft = queryNumber(query, "cold-ms");
+  announcement.WarmUpLeft = std::min(queryNumber(query, "cold-ms"), MaxWarmUpLeft);
   const std::uint64_t slots = queryNumber(query, "slots");
   announcement.Slots = slots > MaxAnnouncedSlots ? 0 : static_cast<std::uint32_t>(slots);
   evhttp_clear_headers(&query);
--- a/src/http/http_fields.cpp
+++ b/src/http/http_fields.cpp
@@ -3,10 +3,12 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace jasmineloom {
 
@@ -73,6 +75,13 @@
   return value == nullptr ? "" : *value;
 }
 
+std::optional<double> decimalIn(const HeaderFields &fields, std::string_view name) {
+  double value = 0;
+  const bool valid =
+      absl::SimpleAtod(headerValue(fields, name), &value) && std::isfinite(value) && value >= 0;
+  return valid ? std::optional(value) : std::nullopt;
+}
+
 bool isHopByHop(const HeaderFields &fields, std::string_view name) {
   return contains(HopByHopFields, name) || contains(connectionOptions(fields), name);
 }
--- a/src/http/http_fields.h
+++ b/src/http/http_fields.h
@@ -3,6 +3,7 @@
 
 #include <event2/http.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,10 @@
 /// empty.
 std::string headerValue(const HeaderFields &fields, std::string_view name);
 
+/// @returns the decimal number that a field holds; nullopt if it is missing, negative, not finite
+/// or no number.
+std::optional<double> decimalIn(const HeaderFields &fields, std::string_view name);
+
 /// @returns whether a field is hop-by-hop and must not be forwarded: the fields of RFC 9110 section
 /// 7.6.1, those named by the message's Connection field, and Content-Length and Expect, which each
 /// hop handles itself.
--- a/src/jasminectl.cpp
+++ b/src/jasminectl.cpp
@@ -122,9 +122,22 @@
 template <typename ReaderT> void printJson(const ReaderT &reader) {
   capnp::JsonCodec codec;
   codec.setPrettyPrint(true);
+  addDeclarationHandlers(codec);
   std::cout << codec.encode(reader).cStr() << "\n";
 }
 
+/// @returns the services that a route sends requests to, with their weights if there are several.
+std::string targetText(wire::Route::Reader route) {
+  if (route.getSplit().size() == 0)
+    return route.getService().cStr();
+  std::vector<std::string> parts;
+  for (const auto it : route.getSplit()) {
+    const SplitPart part = readSplitPart(it);
+    parts.push_back(absl::StrCat(part.Service.str(), " ", part.Weight));
+  }
+  return absl::StrJoin(parts, ", ");
+}
+
 /// Executes one subcommand against the first node that can be reached.
 class Command {
 public:
@@ -330,8 +343,8 @@
                 << it.getInitialVersion().cStr() << "\n";
     for (auto it : response.getDeclarations().getRoutes())
       std::cout << "route    " << absl::StreamFormat("%-20s", it.getName().cStr()) << " "
-                << absl::StreamFormat("%-24s", it.getPrefix().cStr()) << " -> "
-                << it.getService().cStr() << (it.getIdempotent() ? "" : " (at most once)") << "\n";
+                << absl::StreamFormat("%-24s", it.getPrefix().cStr()) << " -> " << targetText(it)
+                << (it.getIdempotent() ? "" : " (at most once)") << "\n";
     return ExitOk;
   }
 
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -9,6 +9,7 @@
 #include "store/store_type.h"
 #include "traffic/announcement.h"
 
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -63,6 +64,8 @@
   bool StoreReachable = false;
   DurationMs ProofAge = 0; ///< Since the configuration was last proved to be the newest; 0: none.
   std::uint64_t RefusedDocuments = 0; ///< Versions of configurations and orders that were refused.
+  /// Reasons for which entries of the operators are refused at present, by key.
+  std::map<std::string, std::string> RefusedNow;
   DurationMs DocumentAge = 0; ///< Of this node's own knowledge of the store's document; 0: none.
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -43,6 +43,8 @@
 
 /// Largest number of slots that an upstream may announce.
 constexpr std::uint64_t MaxAnnouncedSlots = 100000;
+/// Longest warm-up of an upstream that is believed.
+constexpr DurationMs MaxWarmUpLeft = 600 * MsPerSecond;
 
 /// Effect of a heartbeat.
 enum class HeartbeatResult : std::uint8_t {
--- a/src/traffic/ingress_task.cpp
+++ b/src/traffic/ingress_task.cpp
@@ -31,6 +31,8 @@
 /// Bounds of the Retry-After time of a refusal, before jitter.
 constexpr DurationMs MinRetryAfter = 100;
 constexpr DurationMs MaxRetryAfter = 2 * MsPerSecond;
+/// Longest Retry-After of a gate that is read, seconds.
+constexpr double MaxStatedRetryAfter = 3600;
 /// Minimum time until the deadline for retrying a request that has reached an upstream.
 constexpr DurationMs MinRetryTime = 50;
 
@@ -58,10 +60,8 @@
 }
 
 DurationMs parseRetryAfter(const HeaderFields &fields) {
-  double seconds = 0;
-  return absl::SimpleAtod(headerValue(fields, header::RetryAfter), &seconds) && seconds > 0
-             ? static_cast<DurationMs>(seconds * MsPerSecond)
-             : 0;
+  const double seconds = decimalIn(fields, header::RetryAfter).value_or(0);
+  return static_cast<DurationMs>(std::min(seconds, MaxStatedRetryAfter) * MsPerSecond);
 }
 
 AttemptResult attemptResultOf(const HttpResult &result) {
@@ -121,9 +121,6 @@
           makeBuffer(absl::StrCat(outcomeName, ": ", reasonName, "\n"))};
 }
 
-/// Bits of RoutingDraw from this one on select the part of a split, lower bits the version.
-constexpr int SplitDrawShift = 32;
-
 } // namespace
 
 struct IngressTask::RequestContext {
@@ -137,7 +134,7 @@
   TimeMs Deadline = 0;
   TimeMs ArrivedAt = 0;
   std::uint64_t ArrivedAtUs = 0;
-  std::uint64_t RoutingDraw = 0;      ///< Random; selects the part of a split and the version.
+  std::uint64_t RoutingDraw = 0;      ///< Random; selects the version.
   std::uint32_t Attempts = 0;         ///< Gates to which the request was sent.
   std::uint32_t UpstreamsReached = 0; ///< Attempts that may have reached an upstream.
   EndpointSearch Search;
@@ -250,10 +247,10 @@
 }
 
 DurationMs IngressTask::timeoutOf(const RouteSpec &route, const HeaderFields &fields) const {
-  std::uint64_t requestedMs = 0;
-  if (absl::SimpleAtoi(headerValue(fields, Settings.Http.Deadline), &requestedMs))
-    return std::min<DurationMs>(route.Deadline, requestedMs);
-  return route.Deadline;
+  const std::optional<double> requested = decimalIn(fields, Settings.Http.Deadline);
+  if (!requested.has_value() || *requested >= static_cast<double>(route.Deadline))
+    return route.Deadline;
+  return static_cast<DurationMs>(*requested);
 }
 
 Refusal IngressTask::entryRefusal(const RouteSpec *route, const HeaderFields &fields,
@@ -316,7 +313,7 @@
   Contexts.emplace(context.Request.ID, std::move(owned));
   if (route != nullptr) {
     context.Route = *route;
-    context.Service = chooseService(*route, context.RoutingDraw >> SplitDrawShift);
+    context.Service = chooseService(*route, Random());
   }
   if (reason != Refusal::None) {
     refuse(context, Outcome::NotRun, reason);
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -2,6 +2,7 @@
 #include "traffic/metrics.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <sys/resource.h>
 
@@ -18,6 +19,11 @@
                   "\n");
 }
 
+/// @returns the text as the value of a label.
+std::string labelText(const std::string &text) {
+  return absl::StrReplaceAll(text, {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
+}
+
 std::uint64_t microseconds(const timeval &tv) {
   return static_cast<std::uint64_t>(tv.tv_sec) * 1000000 + static_cast<std::uint64_t>(tv.tv_usec);
 }
@@ -92,6 +98,10 @@
                   "\n# TYPE jasmineloom_unread_body_bytes_total counter\n",
                   "jasmineloom_unread_body_bytes_total ", UnreadBytes, "\n");
   addGauge(out, "refused_documents", Control.RefusedDocuments);
+  absl::StrAppend(&out, "# TYPE jasmineloom_refused_document gauge\n");
+  for (const auto &[entry, reason] : Control.RefusedNow)
+    absl::StrAppend(&out, "jasmineloom_refused_document{entry=\"", labelText(entry), "\",reason=\"",
+                    labelText(reason), "\"} 1\n");
   addGauge(out, "held_version", Control.HeldVersion);
   addGauge(out, "known_version", Control.KnownVersion);
   addGauge(out, "control_bytes_in", Control.BytesIn);
--- a/src/traffic/response_check.cpp
+++ b/src/traffic/response_check.cpp
@@ -15,8 +15,6 @@
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 constexpr int StatusMisdirected = 421;
-/// Longest remaining warm-up time that a health response may state.
-constexpr DurationMs MaxWarmUpLeft = 600 * MsPerSecond;
 /// Longest text of a limit that is read as a number.
 constexpr std::size_t MaxLimitLength = 32;
 /// Longest text of a load that is read.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -5,12 +5,16 @@
 
 #include "config/config_holder.h"
 #include "config/declarations.h"
+#include "config/delta_codec.h"
 #include "config/refused_entries.h"
 
 #include "test_config.h"
 
+#include <capnp/message.h>
 #include <rapidcheck.h>
 
+#include <cmath>
+
 using namespace jasmineloom;
 using namespace jasmineloom::testing;
 
@@ -38,7 +42,7 @@
   return spec;
 }
 
-RouteSpec splitRoute(const std::vector<std::pair<const char *, std::uint32_t>> &parts) {
+RouteSpec splitRoute(const std::vector<std::pair<const char *, double>> &parts) {
   RouteSpec spec = route("r", "/r", "lookups");
   for (const auto &[name, weight] : parts)
     spec.Split.push_back({ServiceName(name), weight});
@@ -63,6 +67,8 @@
        {lookups, splitRoute({{"lookups", 1}, {"other", 1}})},
        "does not exist"},
       {"split without weights", {lookups, splitRoute({{"lookups", 0}})}, "add up to 0"},
+      {"split with a negative weight", {lookups, splitRoute({{"lookups", -0.5}})}, "negative"},
+      {"split with an infinite weight", {lookups, splitRoute({{"lookups", HUGE_VAL}})}, "negative"},
       {"rollout of a service without a version",
        {service("lookups", ""), rollout("x", "lookups", "v1", "v2")},
        "is not the version"},
@@ -164,17 +170,63 @@
   BOOST_TEST(!parseDeclarations("x.json", "{not json").ok());
 }
 
+// Guards against weights that change between the store, the nodes and the operators' tools.
+BOOST_AUTO_TEST_CASE(weights_are_the_same_at_all_nodes_and_in_declarations) {
+  const std::vector<ConfigObject> objects = {service("lookups"),
+                                             splitRoute({{"lookups", 0.1},
+                                                         {"lookups", 3},
+                                                         {"lookups", 9e9},
+                                                         {"lookups", 0},
+                                                         {"lookups", 4294967295.0}})};
+  std::vector<ConfigObjectPtr> shared;
+  for (const ConfigObject &object : objects)
+    shared.push_back(std::make_shared<const ConfigObject>(object));
+  const SnapshotPtr snapshot = makeSnapshot(1, shared);
+  const auto decoded = decodeDelta(encodeDelta(diffSnapshots(nullptr, *snapshot)).Bytes);
+  BOOST_TEST_REQUIRE(decoded.ok());
+  const auto applied = applyDelta(nullptr, *decoded);
+  BOOST_TEST_REQUIRE(applied.ok());
+  const std::vector<SplitPart> &sent = std::get<RouteSpec>(objects[1]).Split;
+  BOOST_TEST((findRoute(**applied, RouteName("r"))->Split == sent));
+
+  capnp::MallocMessageBuilder message;
+  auto declarations = message.initRoot<wire::Declarations>();
+  writeDeclaredObjects(declarations, objects);
+  // A node of an earlier version reads whole weights of 32 bits, and computes the same digest.
+  const auto split = declarations.asReader().getRoutes()[0].getSplit();
+  BOOST_TEST(split[1].getWeight() == 3U);
+  BOOST_TEST(split[1].getExactWeight() == 0);
+  BOOST_TEST(split[4].getWeight() == 4294967295U);
+  capnp::JsonCodec codec;
+  addDeclarationHandlers(codec);
+  const std::string json(codec.encode(declarations.asReader()).cStr());
+  BOOST_TEST(json.find(R"("weight":0.1)") != std::string::npos, json);
+  BOOST_TEST(json.find("exactWeight") == std::string::npos, json);
+  const auto parsed = parseDeclarations("routes.json", json);
+  BOOST_TEST_REQUIRE(parsed.ok(), parsed.status().message());
+  for (const ConfigObject &object : *parsed) {
+    if (const auto *route = std::get_if<RouteSpec>(&object))
+      BOOST_TEST((route->Split == sent));
+  }
+  const auto unknown = parseDeclarations(
+      "routes.json", R"({"routes":[{"name":"r","split":[{"service":"a","wieght":1}]}]})");
+  BOOST_TEST(!unknown.ok());
+  BOOST_TEST(unknown.status().message().find("wieght") != std::string::npos);
+}
+
 // Guards against an entry that is reported with every read of the document, and against one whose
 // next version is not reported.
 BOOST_AUTO_TEST_CASE(a_refused_entry_is_reported_once_for_each_content) {
   RefusedEntries refused;
-  BOOST_TEST(refused.record("config", "version 4"));
-  BOOST_TEST(!refused.record("config", "version 4"));
-  BOOST_TEST(refused.record("order", "version 4"));
-  BOOST_TEST(refused.record("config", "version 5"));
+  BOOST_TEST(refused.record("config", "version 4", "reason 4"));
+  BOOST_TEST(!refused.record("config", "version 4", "reason 4"));
+  BOOST_TEST(refused.record("order", "version 4", "reason 4"));
+  BOOST_TEST(refused.record("config", "version 5", "reason 5"));
   refused.clear("config");
-  BOOST_TEST(refused.record("config", "version 5"));
+  BOOST_TEST(refused.record("config", "version 5", "reason 5"));
   BOOST_TEST(refused.total() == 4U);
+  BOOST_TEST((refused.reasons() ==
+              std::map<std::string, std::string>{{"config", "reason 5"}, {"order", "reason 4"}}));
   BOOST_TEST(describeInForce(3) == "version 3 stays in force as a whole");
   BOOST_TEST(describeInForce(0) == "no configuration is in force, requests get 503");
 }
--- a/tests/http_contract_test.cpp
+++ b/tests/http_contract_test.cpp
@@ -504,6 +504,17 @@
     BOOST_TEST(!isHopByHop(fields, name), name);
 }
 
+// Guards against a deadline with a fraction that is taken for none.
+BOOST_AUTO_TEST_CASE(decimal_fields_are_read_with_their_fraction) {
+  const auto read = [](const char *value) { return decimalIn({{"X-Time", value}}, "x-time"); };
+  BOOST_TEST(read("1500").value_or(-1) == 1500);
+  BOOST_TEST(read("1500.5").value_or(-1) == 1500.5);
+  BOOST_TEST(read("0").value_or(-1) == 0);
+  for (const char *value : {"", "-1", "nan", "inf", "-inf", "1e999", "1,5", "12 ms"})
+    BOOST_TEST(!read(value).has_value(), value);
+  BOOST_TEST(!decimalIn({}, "x-time").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(late_response_is_not_matched_to_the_next_request) {
   const EventBasePtr base = makePreciseBase();
   HttpPool pool(base.get(), 1000);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -170,8 +170,9 @@
   route.Service = ServiceName("a");
   route.Split = {{ServiceName("a"), 90}, {ServiceName("b"), 10}, {ServiceName("c"), 0}};
   std::map<std::string, int> counts;
-  for (std::uint64_t draw = 0; draw < 1000; ++draw)
-    ++counts[chooseService(route, draw).str()];
+  constexpr std::uint64_t Draws = 1000;
+  for (std::uint64_t n = 0; n < Draws; ++n)
+    ++counts[chooseService(route, n * (~std::uint64_t{0} / Draws)).str()];
   BOOST_TEST(counts["a"] == 900);
   BOOST_TEST(counts["b"] == 100);
   BOOST_TEST(!counts.contains("c"));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -6,8 +6,14 @@
 #include "platform_environment.h"
 #include "platform_json.h"
 
+#include "balance/placement.h"
 #include "config/config_func.h"
 
+#include <absl/strings/str_cat.h>
+#include <rapidcheck.h>
+
+#include <random>
+
 using namespace jasmineloom;
 using namespace jasmineloom::platform;
 
@@ -43,6 +49,46 @@
   return changed;
 }
 
+/// @returns the snapshot of a document; null if it is not accepted.
+SnapshotPtr accepted(const std::string &document) {
+  const auto entry = decode("op/config", document);
+  if (!entry.ok())
+    return nullptr;
+  std::vector<ConfigObjectPtr> objects;
+  for (const ConfigObject &object : std::get<ConfigDocument>(*entry).Objects)
+    objects.push_back(std::make_shared<const ConfigObject>(object));
+  const SnapshotPtr snapshot = makeSnapshot(1, objects);
+  return validateSnapshot(*snapshot).ok() ? snapshot : nullptr;
+}
+
+SnapshotPtr acceptedSplit(const std::string &first, const std::string &second) {
+  return accepted(documentWith(absl::StrCat(RouteJson, R"(,"split":[{"service":"a","weight":)",
+                                            first, R"(},{"service":"b","weight":)", second, "}]")));
+}
+
+/// @returns the share of drawn requests that go to the service "a"; -1: the document is refused.
+double drawnShare(const SnapshotPtr &snapshot) {
+  constexpr int Draws = 20000;
+  if (!snapshot)
+    return -1;
+  const RouteSpec *route = findRoute(*snapshot, RouteName("r"));
+  std::mt19937_64 random(1);
+  int first = 0;
+  for (int n = 0; n < Draws; ++n)
+    first += chooseService(*route, random()).str() == "a" ? 1 : 0;
+  return static_cast<double>(first) / Draws;
+}
+
+/// @returns the route "r" of RouteJson with another value of a field; nullopt if it is refused.
+std::optional<RouteSpec> routeWith(const std::string &field, const std::string &value) {
+  nlohmann::json route = nlohmann::json::parse("{" + RouteJson + "}");
+  route.erase(field);
+  const std::string others = route.dump();
+  const SnapshotPtr snapshot = accepted(documentWith(absl::StrCat(
+      others.substr(1, others.size() - 2), R"(,"service":"a",")", field, "\":", value)));
+  return snapshot ? std::optional(*findRoute(*snapshot, RouteName("r"))) : std::nullopt;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(config_document_decodes_to_routes_and_services) {
@@ -92,6 +138,140 @@
       (route.Split == std::vector<SplitPart>{{ServiceName("a"), 90}, {ServiceName("b"), 10}}));
 }
 
+// Guards against weights that are cut to whole numbers of 32 bits, which changes their proportion
+// or makes the whole version invalid.
+BOOST_AUTO_TEST_CASE(split_keeps_the_proportion_of_weights_in_every_form_of_a_number) {
+  struct WeightCase {
+    const char *First;
+    const char *Second;
+    double Share;
+  };
+  const std::vector<WeightCase> cases = {
+      {"90", "10", 0.9},
+      {"3.0", "1", 0.75},
+      {"1.5", "0.5", 0.75},
+      {"0.75", "0.25", 0.75},
+      {"3e0", "1E0", 0.75},
+      {"1e-3", "1e-3", 0.5},
+      {"9e9", "1e9", 0.9},
+      {"18446744073709551615", "18446744073709551615", 0.5},
+      {"1e300", "3e300", 0.25},
+      {"1.7e308", "1.7e308", 0.5},
+      {"3e-300", "1e-300", 0.75},
+      {"5e-324", "0", 1},
+      {"0.0", "7", 0},
+      {"-0.0", "0.1", 0},
+      {"1", "4294967296", 0},
+  };
+  for (const WeightCase &it : cases)
+    BOOST_TEST(std::abs(drawnShare(acceptedSplit(it.First, it.Second)) - it.Share) < 0.02,
+               it.First << " to " << it.Second);
+}
+
+BOOST_AUTO_TEST_CASE(proportions_are_kept_for_any_weights) {
+  const bool ok = rc::check("drawn shares follow the weights", [] {
+    const auto mantissa = [] { return *rc::gen::inRange(1, 1000); };
+    const int first = mantissa();
+    const int second = mantissa();
+    const std::string exponent = absl::StrCat("e", *rc::gen::inRange(-200, 200));
+    const double share = static_cast<double>(first) / (first + second);
+    const double drawn =
+        drawnShare(acceptedSplit(absl::StrCat(first, exponent), absl::StrCat(second, exponent)));
+    RC_ASSERT(std::abs(drawn - share) < 0.02);
+  });
+  BOOST_TEST(ok);
+}
+
+BOOST_AUTO_TEST_CASE(weights_that_state_no_proportion_are_refused_with_route_and_field) {
+  for (const char *weight : {"-1", "\"3\"", "null", "true", "[1]"}) {
+    const auto entry = decode(
+        "op/config", documentWith(absl::StrCat(RouteJson, R"(,"split":[{"service":"a","weight":)",
+                                               weight, R"(},{"service":"b","weight":1}])")));
+    BOOST_TEST_REQUIRE(!entry.ok(), weight);
+    const std::string reason(entry.status().message());
+    BOOST_TEST(reason.find("route \"r\"") != std::string::npos, reason);
+    BOOST_TEST(reason.find("weight") != std::string::npos, reason);
+  }
+  BOOST_TEST(!decode("op/config", documentWith(RouteJson + R"(,"split":[{"service":"a"}])")).ok());
+}
+
+// Guards against a version that is refused as a whole, or changed in silence, because a proper
+// figure is a fraction or beyond the range that the product uses.
+BOOST_AUTO_TEST_CASE(figures_of_a_route_are_rounded_and_bounded) {
+  struct FigureCase {
+    const char *Field;
+    const char *Value;
+    std::uint64_t RouteSpec::*Whole;
+    std::uint64_t Expected;
+  };
+  const std::vector<FigureCase> cases = {
+      {"timeout_ms", "1500.0", &RouteSpec::Deadline, 1500},
+      {"timeout_ms", "15e2", &RouteSpec::Deadline, 1500},
+      {"timeout_ms", "1500.25", &RouteSpec::Deadline, 1501},
+      {"timeout_ms", "0.5", &RouteSpec::Deadline, 1},
+      {"timeout_ms", "3600000", &RouteSpec::Deadline, 600000},
+      {"timeout_ms", "1e300", &RouteSpec::Deadline, 600000},
+      {"target_latency_ms", "0.5", &RouteSpec::Objective, 1},
+      {"target_latency_ms", "0", &RouteSpec::Objective, 0},
+      {"target_latency_ms", "4294967297", &RouteSpec::Objective, 600000},
+  };
+  for (const FigureCase &it : cases) {
+    const std::optional<RouteSpec> route = routeWith(it.Field, it.Value);
+    BOOST_TEST_REQUIRE(route.has_value(), it.Field << " " << it.Value);
+    BOOST_TEST(((*route).*it.Whole) == it.Expected, it.Field << " " << it.Value);
+  }
+  const auto attempts = [](const char *value) {
+    const std::optional<RouteSpec> route = routeWith("attempts", value);
+    return route.has_value() ? route->Attempts : 0;
+  };
+  BOOST_TEST(attempts("2.9") == 2U);
+  BOOST_TEST(attempts("3.0") == 3U);
+  BOOST_TEST(attempts("17") == 16U);
+  BOOST_TEST(attempts("1e30") == 16U);
+  BOOST_TEST(!routeWith("attempts", "0").has_value());
+  BOOST_TEST(!routeWith("timeout_ms", "0").has_value());
+  BOOST_TEST(routeWith("priority", "1.9")->Worth == routeWith("priority", "1")->Worth);
+  BOOST_TEST(routeWith("priority", "1e30")->Worth == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(proper_times_are_never_an_error) {
+  const bool ok = rc::check("any positive number is accepted", [] {
+    const std::string value =
+        absl::StrCat(*rc::gen::inRange(1, 1000), ".", *rc::gen::inRange(0, 1000), "e",
+                     *rc::gen::inRange(-300, 300));
+    for (const char *field : {"timeout_ms", "target_latency_ms"})
+      RC_ASSERT(routeWith(field, value).has_value());
+  });
+  BOOST_TEST(ok);
+}
+
+BOOST_AUTO_TEST_CASE(whole_numbers_of_heartbeats_may_have_any_form) {
+  for (const char *slots : {"9", "9.0", "9e0", "0.9e1"}) {
+    const auto call =
+        putHeartbeat(replacedOnce(HeartbeatJson, "\"slots\":9", absl::StrCat("\"slots\":", slots)));
+    BOOST_TEST_REQUIRE(std::holds_alternative<Announcement>(call), slots);
+    BOOST_TEST(std::get<Announcement>(call).Slots == 9U);
+  }
+  const auto call = putHeartbeat(
+      replacedOnce(HeartbeatJson, "\"sequence\":4", "\"sequence\":9223372036854775809"));
+  BOOST_TEST_REQUIRE(std::holds_alternative<Announcement>(call));
+  BOOST_TEST(std::get<Announcement>(call).Sequence == 9223372036854775809U);
+  for (const char *slots : {"9.5", "-9", "1e300", "\"9\"", "null"})
+    BOOST_TEST(std::holds_alternative<InvalidCall>(putHeartbeat(
+                   replacedOnce(HeartbeatJson, "\"slots\":9", absl::StrCat("\"slots\":", slots)))),
+               slots);
+}
+
+BOOST_AUTO_TEST_CASE(store_responses_without_a_readable_revision_are_not_used) {
+  const StoreProtocol store = storeProtocol();
+  const StoreWatch watch{"op/", 5, 1};
+  BOOST_TEST(store.Decode(watch, 200, R"({"events":[],"store_revision":7.0})").Revision == 7);
+  for (const char *body :
+       {R"({"events":[]})", R"({"events":[],"store_revision":"7"})",
+        R"({"events":[],"store_revision":1e300})", R"({"events":[],"store_revision":7.5})"})
+    BOOST_TEST((store.Decode(watch, 200, body).Result == StoreResult::Unknown), body);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_documents_are_rejected) {
   const std::string valid = documentWith(RouteJson + R"(,"service":"a")");
   const std::vector<std::string> cases = {
@@ -125,6 +305,10 @@
                           R"({"service":"a","target_version":"v2","duration_s":1e300})",
                           R"({"service":"a","target_version":"v2","duration_s":0})"})
     BOOST_TEST(!decode("op/rollout/a", bad).ok(), bad);
+  // Orders are told apart and ordered by their revision.
+  const std::string order = R"({"service":"a","target_version":"v2","duration_s":12})";
+  BOOST_TEST(!documentFormat().Decode({"op/rollout/a", order, 0, false}).ok());
+  BOOST_TEST(!documentFormat().Decode({"op/evacuate/z", "", 0, false}).ok());
   // Removed entries and unknown keys decode to nothing.
   BOOST_TEST(std::holds_alternative<std::monostate>(*decode("op/rollout/a", "", true)));
   BOOST_TEST(std::holds_alternative<std::monostate>(*decode("op/else", "{}")));
@@ -268,7 +452,7 @@
     entry.Value = text;
     BOOST_TEST(!format.Decode(entry).ok());
   }
-  // A number beyond the range of its field becomes the largest value instead of an undefined one.
+  // A number beyond the range of its field becomes the largest value that a route may state.
   StoreEntry entry;
   entry.Key = "op/config";
   entry.Value =
@@ -278,6 +462,6 @@
   BOOST_REQUIRE(decoded.ok());
   const auto &config = std::get<ConfigDocument>(*decoded);
   const auto &route = std::get<RouteSpec>(config.Objects.back());
-  BOOST_TEST(route.Attempts == std::numeric_limits<std::uint32_t>::max());
-  BOOST_TEST(route.Deadline == MaxNumber);
+  BOOST_TEST(route.Attempts == MaxRouteAttempts);
+  BOOST_TEST(route.Deadline == MaxRouteDeadline);
 }
