Count a wait from the first version that is lacking, and a duty by its work

Cause: two mistakes that need each other. The 300 ms that a reader of the store gives it before it fetches a version from a peer were counted from the peer's newest version, so a storm started them again each time. And the roots that rank fourth to sixth read the store only if the links to the first three are down; whether the store answers these was not asked.

Why it works: the wait is counted from the first version that the node lacks, and is left out where the store owes an answer.

--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -184,6 +184,7 @@
   proofAgeMs @18 :UInt32 = 0xffffffff;  # Age of the proof that proofVersion was the newest; the maximum: none.
   proofVersion @19 :UInt64;
   proofEra @20 :UInt64;        # Era of the store that proved it.
+  storeSilent @21 :Bool;       # The sender asks the store and gets no answers.
 }
 
 struct VersionCounts {
--- a/src/control/control_config.cpp
+++ b/src/control/control_config.cpp
@@ -21,8 +21,8 @@
 
 void ControlTask::fetchConfig() {
   const TimeMs now = steadyClockMs();
-  const std::optional<HostID> source =
-      Node.startFetch(readsDocument(now) ? DocumentReadTime : 0, now);
+  const bool mayRead = readsDocument(now) && !StoreSilent;
+  const std::optional<HostID> source = Node.startFetch(mayRead ? DocumentReadTime : 0, now);
   if (!source.has_value())
     return;
   spawn(fetchConfigFrom(*source, Node.hosts().find(*source)->RpcAddress)
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -15,6 +15,8 @@
 /// Backoff after a failed call to the store: initial, and maximum.
 constexpr DurationMs MinStoreBackoff = 50;
 constexpr DurationMs MaxStoreBackoff = 800;
+/// Maximum for a node that stands in for others: the store may be down for all.
+constexpr DurationMs MaxStandInBackoff = 3200;
 /// Time after which a controller acts on an order even if it could not read the order's stored
 /// status.
 constexpr DurationMs StatusReadTimeout = 1 * MsPerSecond;
@@ -48,8 +50,10 @@
 kj::Promise<void> ControlTask::documentLoop() {
   const TimeMs now = steadyClockMs();
   const bool reads = readsDocument(now);
-  if (!reads)
+  if (!reads) {
     DocumentRead.Listed = false;
+    Contact = {};
+  }
   // A starting node lists the document, and watches it once it knows whether it is a root.
   if (!reads || (DocumentRead.Listed && !isSettled(now)))
     return timer().afterDelay(Settings.Times.ExchangeHold * kj::MILLISECONDS).then([this] {
@@ -62,8 +66,10 @@
           DocumentRead.AnsweredAt = steadyClockMs();
         else
           Watches.recordFailure();
+        const bool standsIn = storeDuty(steadyClockMs()) == StoreDuty::StandIn;
+        const DurationMs longest = standsIn ? MaxStandInBackoff : MaxStoreBackoff;
         DocumentRead.RetryDelay =
-            ok ? 0 : std::clamp(DocumentRead.RetryDelay * 2, MinStoreBackoff, MaxStoreBackoff);
+            ok ? 0 : std::clamp(DocumentRead.RetryDelay * 2, MinStoreBackoff, longest);
         if (ok)
           return kj::READY_NOW;
         return timer().afterDelay((DocumentRead.RetryDelay + randomBelow(DocumentRead.RetryDelay)) *
@@ -77,6 +83,7 @@
   DocumentRead.Waiters.push_back(kj::mv(waiter.fulfiller));
   if (DocumentRead.Waiters.size() > 1)
     return kj::mv(waiter.promise);
+  Contact.recordCall(0, steadyClockMs());
   spawn(listDocument(std::string())
             .catch_([this](kj::Exception &&exception) {
               recordEvent("config", "document",
@@ -84,6 +91,7 @@
               return false;
             })
             .then([this](bool ok) {
+              recordStoreContact(ok);
               for (auto &it : std::exchange(DocumentRead.Waiters, {}))
                 it->fulfill(kj::cp(ok));
             }),
@@ -91,6 +99,12 @@
   return kj::mv(waiter.promise);
 }
 
+void ControlTask::recordStoreContact(bool answered) {
+  const TimeMs now = steadyClockMs();
+  Contact.recordEnd(answered, now);
+  checkStoreSilence(now);
+}
+
 kj::Promise<bool> ControlTask::listDocument(const std::string &after) {
   return Store.send(StoreList{Settings.Env.Document->Prefix, after, false})
       .then([this, after](StoreResponse response) -> kj::Promise<bool> {
@@ -119,8 +133,11 @@
 kj::Promise<bool> ControlTask::watchDocument() {
   const StoreWatch watch{Settings.Env.Document->Prefix, DocumentRead.Revision,
                          Watches.nextHold(watchShare(steadyClockMs()))};
+  Contact.recordCall(watch.Wait, steadyClockMs());
   // The document may be listed in a new era while the watch is held.
   return Store.send(watch).then([this, watch, era = DocumentRead.Era](StoreResponse response) {
+    recordStoreContact(response.Result == StoreResult::Ok ||
+                       response.Result == StoreResult::Compacted);
     if (response.Result == StoreResult::Compacted) {
       recordEvent("store", "watch", "history compacted in the store; listing all entries again");
       DocumentRead.Listed = false;
@@ -278,7 +295,7 @@
     return {};
   const std::size_t roots =
       rootsOf(Node.hosts().members(Settings.Identity.DataCentre), Settings.Tree).size();
-  return {activeRootsBefore(now), std::clamp<std::size_t>(roots, 1, StoreRoots)};
+  return {answeredRootsBefore(now), std::clamp<std::size_t>(roots, 1, StoreRoots)};
 }
 
 DurationMs ControlTask::documentAge(TimeMs now) const {
--- a/src/control/control_proof.cpp
+++ b/src/control/control_proof.cpp
@@ -38,7 +38,7 @@
 std::size_t ControlTask::proofRank(TimeMs now) const {
   if (allLinksSilent(now))
     return 0;
-  std::size_t rank = activeRootsBefore(now);
+  std::size_t rank = answeredRootsBefore(now);
   for (const auto &[dataCentre, roots] : RemoteRoots)
     rank += static_cast<std::size_t>(
         std::count_if(roots.begin(), roots.end(),
@@ -146,6 +146,11 @@
 
 ExchangeMessage ControlTask::buildMessage(const HostID &peer, bool joining) {
   ExchangeMessage message = Node.buildMessage(peer, joining);
+  message.StoreSilent = StoreSilent;
+  if (StoreSilent)
+    ToldSilent.insert(peer);
+  else
+    ToldSilent.erase(peer);
   if (!needsProof())
     return message;
   const ProofStatement statement = Proof.statementFor(peer, bootClockMs());
@@ -161,6 +166,7 @@
 
 void ControlTask::receiveMessage(const ExchangeMessage &message) {
   const StateChanges changes = Node.receiveMessage(message, steadyClockMs());
+  Statements.record(message.Host, message.StoreSilent, steadyClockMs());
   if (needsProof()) {
     ProofStatement statement{message.Clock, message.Echo, std::nullopt, message.ProofVersion,
                              message.ProofEra};
@@ -191,11 +197,14 @@
 }
 
 bool ControlTask::hasUpdatesFor(const HostID &peer, bool joining) const {
-  return Node.hasUpdatesFor(peer, joining) || hasProofFor(peer);
+  return Node.hasUpdatesFor(peer, joining) || hasProofFor(peer) ||
+         ToldSilent.contains(peer) != StoreSilent;
 }
 
 DurationMs ControlTask::updateDelay(const HostID &peer, bool joining) const {
-  return Node.hasOnlyRecordsFor(peer, joining) && !hasProofFor(peer) ? RecordBatchDelay : 0;
+  const bool hasOnlyRecords = Node.hasOnlyRecordsFor(peer, joining) && !hasProofFor(peer) &&
+                              ToldSilent.contains(peer) == StoreSilent;
+  return hasOnlyRecords ? RecordBatchDelay : 0;
 }
 
 } // namespace jasmineloom
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -178,8 +178,10 @@
       now >= StartTime + AloneRegistrationTime * Settings.Times.BootstrapDelay;
   const bool mayRegister =
       Node.hosts().size() > 1 ? isSettled(now) : aloneForLong || !Settings.Seeds.empty();
-  if (usesStore(now) && bootstrapped && mayRegister && !Draining && !LeaseCallPending &&
-      now >= NextLeaseRenewal) {
+  // A short stand-in is not worth the writes of a registration.
+  const bool isLasting = !StandInSince.has_value() || now >= *StandInSince + LeasePeriod;
+  if (usesStore(now) && isLasting && bootstrapped && mayRegister && !Draining &&
+      !LeaseCallPending && now >= NextLeaseRenewal) {
     LeaseCallPending = true;
     spawn(registerRoot(), "lease");
   }
@@ -201,14 +203,42 @@
   return now >= StartTime + RootSettlingTime * Settings.Times.BootstrapDelay;
 }
 
-std::size_t ControlTask::activeRootsBefore(TimeMs now) const {
+std::vector<RootContact> ControlTask::rootsBefore(TimeMs now) const {
+  std::vector<RootContact> before;
+  if (!Position.Root)
+    return before;
+  for (const HostID &root : Position.Parents)
+    before.push_back({isLinkAlive(root, now), Statements.isAnswered(root, now)});
+  return before;
+}
+
+std::size_t ControlTask::answeredRootsBefore(TimeMs now) const {
+  const std::vector<RootContact> before = rootsBefore(now);
   return static_cast<std::size_t>(
-      std::count_if(Position.Parents.begin(), Position.Parents.end(),
-                    [this, now](const HostID &root) { return isLinkAlive(root, now); }));
+      std::count(before.begin(), before.end(), RootContact{true, true}));
+}
+
+void ControlTask::checkStandIn(TimeMs now) {
+  const bool stands = storeDuty(now) == StoreDuty::StandIn;
+  if (stands == StandInSince.has_value())
+    return;
+  StandInSince = stands ? std::optional(now) : std::nullopt;
+  recordEvent("store", "duty",
+              stands ? "taken over from roots that the store does not answer"
+                     : "left to the roots that rank before this one");
 }
 
-bool ControlTask::usesStore(TimeMs now) const {
-  return Position.Root && activeRootsBefore(now) < StoreRoots;
+void ControlTask::checkStoreSilence(TimeMs now) {
+  const DurationMs silence = readsDocument(now) ? Contact.silence(now) : 0;
+  const bool silent = silence > Settings.Times.StoreSilenceLimit;
+  if (silent == StoreSilent)
+    return;
+  StoreSilent = silent;
+  recordEvent("store", "contact",
+              silent ? absl::StrCat("no answer has come for ", silence, " ms; other roots are told")
+                     : "the store answers, or is left to other roots; other roots are told");
+  releaseHeldExchanges();
+  sendPendingUpdates();
 }
 
 kj::Promise<void> ControlTask::registerIfAlone() {
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -52,9 +52,10 @@
       Node(Settings.Identity, steadyClockMs(), Settings.Times.ChildTimeout, Settings.Tree,
            Settings.Times.LinkRetryDelay),
       Store(traffic, Settings.Env.Store), Peers(Io, Settings.Secret, Settings.Identity.Host, Bytes),
-      Random(Settings.RandomSeed), Watches(Settings.Times.WatchPeriod),
-      Proof(ProofTimes::forBound(proofBound(Settings)).Step), StartTime(steadyClockMs()),
-      Errors(kj::heap<ErrorHandler>()), Tasks(kj::heap<kj::TaskSet>(*Errors)) {
+      Random(Settings.RandomSeed), Statements(Settings.Times.StoreReturnTime),
+      Watches(Settings.Times.WatchPeriod), Proof(ProofTimes::forBound(proofBound(Settings)).Step),
+      StartTime(steadyClockMs()), Errors(kj::heap<ErrorHandler>()),
+      Tasks(kj::heap<kj::TaskSet>(*Errors)) {
   KJ_SYSCALL(pipe(WakePipe));
   WakeStream =
       Io.lowLevelProvider->wrapInputFd(WakePipe[0], kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP);
@@ -394,6 +395,8 @@
   if (const DurationMs late = Stalls.recordFired(TickDue == 0 ? now : TickDue, now); late != 0)
     recordEvent("main", "control loop", absl::StrCat("stalled for ", late, " ms"));
   detectSuspension(now);
+  checkStoreSilence(now);
+  checkStandIn(now);
   StateChanges changes;
   changes.TableChanged = Node.tick(now);
   propagateChanges(changes);
@@ -421,6 +424,8 @@
   figures.StoreReachable = Store.reachable();
   figures.ProofAge = PublishedProof == 0 ? 0 : bootClockMs() - PublishedProof;
   figures.DocumentAge = documentAge(now);
+  figures.StoreSilence = readsDocument(now) ? Contact.silence(now) : 0;
+  figures.StandsIn = StandInSince.has_value();
   figures.RefusedDocuments = Refused.total();
   figures.RefusedNow = Refused.reasons();
   figures.Transfers = Transfers;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -3,6 +3,7 @@
 
 #include "config/change_cmd.h"
 #include "config/refused_entries.h"
+#include "control/store_duty.h"
 #include "control/watch_schedule.h"
 #include "environment.h"
 #include "mesh/mesh_node.h"
@@ -235,6 +236,8 @@
   kj::Promise<bool> readDocument();
   kj::Promise<bool> listDocument(const std::string &after);
   kj::Promise<bool> watchDocument();
+  /// Records the end of a read or watch of the document.
+  void recordStoreContact(bool answered);
   /// @param era of the store that stated them.
   void applyEntries(const std::vector<StoreEntry> &entries, std::uint64_t era);
   void receiveEvacuation(const EvacuationEntry &entry, std::uint64_t era);
@@ -260,10 +263,17 @@
   bool allLinksSilent(TimeMs now) const;
   /// @returns whether the node has had time to learn of the other hosts since its start.
   bool isSettled(TimeMs now) const;
-  /// @returns the number of roots that rank before this one and respond.
-  std::size_t activeRootsBefore(TimeMs now) const;
-  /// @returns whether this host is one of the StoreRoots of its data centre.
-  bool usesStore(TimeMs now) const;
+  /// @returns the roots that rank before this one.
+  std::vector<RootContact> rootsBefore(TimeMs now) const;
+  /// @returns how many of them respond and get answers from the store.
+  std::size_t answeredRootsBefore(TimeMs now) const;
+  StoreDuty storeDuty(TimeMs now) const { return storeDutyOf(Position.Root, rootsBefore(now)); }
+  /// @returns whether this host does the duties of a root at the store.
+  bool usesStore(TimeMs now) const { return storeDuty(now) != StoreDuty::None; }
+  /// Records when this host begins and ends to stand in for other roots at the store.
+  void checkStandIn(TimeMs now);
+  /// Tells other nodes when the store no longer answers this node, and when it does again.
+  void checkStoreSilence(TimeMs now);
   WatchShare watchShare(TimeMs now) const;
   /// @returns whether requests depend on proofs that the configuration is the newest.
   bool needsProof() const;
@@ -360,6 +370,11 @@
   /// Those in this data centre by the last list; empty before the first one.
   std::optional<std::size_t> RegisteredRoots;
   DocumentReadState DocumentRead;
+  StoreContact Contact;
+  bool StoreSilent = false;    ///< The store has owed this node an answer for too long.
+  std::set<HostID> ToldSilent; ///< Peers to which the last message stated StoreSilent.
+  StoreStatements Statements;
+  std::optional<TimeMs> StandInSince;         ///< Since when this host stands in for other roots.
   std::set<DataCentreName> ReportedEvacuated; ///< In the last event of the time line.
   std::set<std::string> ReportedUnserved;     ///< Services, in the last events of the time line.
   /// Departures that this node has to keep in the store, by upstream.
--- a/src/mesh/config_fetch.cpp
+++ b/src/mesh/config_fetch.cpp
@@ -18,14 +18,20 @@
 
 } // namespace
 
+bool ConfigFetch::isAvoided(const ConfigOffer &offer) const {
+  const auto it = Avoided.find(offer.Peer);
+  return it != Avoided.end() &&
+         (!it->second.Refused.has_value() || offer.Version <= *it->second.Refused);
+}
+
 std::optional<HostID> ConfigFetch::start(const std::vector<ConfigOffer> &offers, DurationMs minAge,
                                          TimeMs now) {
   if (inProgress())
     return std::nullopt;
-  std::erase_if(AvoidedUntil, [now](const auto &it) { return now >= it.second; });
+  std::erase_if(Avoided, [now](const auto &it) { return now >= it.second.Until; });
   const ConfigOffer *best = nullptr;
   for (const ConfigOffer &offer : offers) {
-    if (AvoidedUntil.contains(offer.Peer) || now < offer.KnownSince + minAge)
+    if (isAvoided(offer) || now < offer.KnownSince + minAge)
       continue;
     if (best == nullptr || isBetter(offer, *best))
       best = &offer;
@@ -40,16 +46,16 @@
   if (!Current.has_value())
     return;
   if (held < Current->Version)
-    AvoidedUntil[Current->Peer] = now + RetryDelay;
+    Avoided[Current->Peer] = {now + RetryDelay, std::nullopt};
   else
-    AvoidedUntil.erase(Current->Peer);
+    Avoided.erase(Current->Peer);
   Current.reset();
 }
 
 void ConfigFetch::endRefused(TimeMs now) {
   if (!Current.has_value())
     return;
-  AvoidedUntil[Current->Peer] = now + RefusedDelayFactor * RetryDelay;
+  Avoided[Current->Peer] = {now + RefusedDelayFactor * RetryDelay, Current->Version};
   Current.reset();
 }
 
--- a/src/mesh/config_fetch.h
+++ b/src/mesh/config_fetch.h
@@ -13,7 +13,7 @@
 struct ConfigOffer {
   HostID Peer;
   ConfigVersion Version = 0;
-  TimeMs KnownSince = 0; ///< When this node learned that the peer holds a newer version.
+  TimeMs KnownSince = 0; ///< When this node first learned that it lacks what the peer holds.
   bool Local = false;    ///< In the node's own data centre.
   bool IsChild = false;  ///< Reports to this node.
   auto operator<=>(const ConfigOffer &) const = default;
@@ -38,7 +38,7 @@
   void end(ConfigVersion held, TimeMs now);
 
   /// Ends the fetch in progress with a configuration that is not valid for this node. Its peer is
-  /// avoided for longer, as it probably still holds the same one.
+  /// avoided for longer, but only while it holds the same one.
   void endRefused(TimeMs now);
 
   /// Ends the fetch in progress with a delta that needs another base; the same peer may be asked
@@ -48,9 +48,17 @@
   bool inProgress() const { return Current.has_value(); }
 
 private:
+  /// Time in which nothing is fetched from a peer.
+  struct Avoidance {
+    TimeMs Until = 0;
+    std::optional<ConfigVersion> Refused; ///< Only offers of up to this version are avoided.
+  };
+
+  bool isAvoided(const ConfigOffer &offer) const;
+
   DurationMs RetryDelay;
   std::optional<ConfigOffer> Current; ///< Offer of the fetch in progress.
-  std::map<HostID, TimeMs> AvoidedUntil;
+  std::map<HostID, Avoidance> Avoided;
 };
 
 } // namespace jasmineloom
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -96,8 +96,13 @@
 
 void MeshNode::receiveHeldVersion(const ExchangeMessage &message, Link &link, TimeMs now) {
   Config.observeVersion(message.KnownVersion);
-  if (message.HeldVersion > link.PeerHeldVersion)
+  const ConfigVersion held = Config.heldVersion();
+  std::erase_if(link.PeerNews, [held](const VersionNews &it) { return it.Version <= held; });
+  if (message.HeldVersion > link.PeerHeldVersion) {
     link.PeerHeldSince = now;
+    if (link.PeerNews.size() < MaxVersionNews)
+      link.PeerNews.push_back({message.HeldVersion, now});
+  }
   if (message.HeldVersion >= link.PeerHeldVersion) {
     link.PeerHeldVersion = message.HeldVersion;
     link.PeerHeldDigest = message.HeldDigest;
@@ -106,6 +111,14 @@
   acknowledged = std::max(acknowledged, message.HeldVersion);
 }
 
+TimeMs MeshNode::lackedSince(const Link &link) const {
+  for (const VersionNews &it : link.PeerNews) {
+    if (it.Version > Config.heldVersion())
+      return it.HeardAt;
+  }
+  return link.PeerHeldSince;
+}
+
 std::vector<ConfigOffer> MeshNode::configOffers() const {
   std::vector<ConfigOffer> offers;
   for (const auto &[peer, link] : Links) {
@@ -114,7 +127,7 @@
                        link.PeerHeldVersion >= Config.floorVersion();
     if (!newer || record == nullptr || record->State == HostState::Gone)
       continue;
-    offers.push_back({peer, link.PeerHeldVersion, link.PeerHeldSince,
+    offers.push_back({peer, link.PeerHeldVersion, lackedSince(link),
                       record->DataCentre == Identity.DataCentre, link.IsChild});
   }
   return offers;
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -48,6 +48,7 @@
   std::uint32_t ProofAge = NoProofAge;
   ConfigVersion ProofVersion = 0;
   std::uint64_t ProofEra = 0; ///< Era of the store that proved it.
+  bool StoreSilent = false;   ///< The sender asks the store and gets no answers.
 };
 
 /// The configuration that a node holds, stated when it fetches a newer one.
@@ -67,12 +68,21 @@
   bool operator==(const StateChanges &) const = default;
 };
 
+/// A version that a peer has stated to hold.
+struct VersionNews {
+  ConfigVersion Version = 0;
+  TimeMs HeardAt = 0;
+  auto operator<=>(const VersionNews &) const = default;
+};
+
 /// State of the link to one peer.
 struct Link {
   std::uint64_t PeerIncarnation = 0;
   ConfigVersion PeerHeldVersion = 0;
   std::uint64_t PeerHeldDigest = 0;
-  TimeMs PeerHeldSince = 0;      ///< When PeerHeldVersion was first received.
+  TimeMs PeerHeldSince = 0; ///< When PeerHeldVersion was first received.
+  /// Versions that the peer has stated and this node did not hold then, the first ones; increasing.
+  std::vector<VersionNews> PeerNews;
   bool HasReceived = false;      ///< A message of PeerIncarnation has arrived.
   std::uint64_t AckedCursor = 0; ///< Change index up to which the peer has read this node's table.
   std::uint64_t SentCursor = 0;  ///< Change index up to which this node's table was sent.
@@ -105,6 +115,8 @@
 constexpr DurationMs FetchRetryDelay = MeshTimings{}.LinkRetryDelay;
 /// Maximum number of host records in one message.
 constexpr std::size_t MaxRecordsPerMessage = 2000;
+/// Maximum length of Link::PeerNews.
+constexpr std::size_t MaxVersionNews = 32;
 /// Maximum number of hosts in SubtreeSummary::Laggards.
 constexpr std::size_t MaxLaggards = 8;
 
@@ -232,6 +244,8 @@
   std::vector<ConfigOffer> configOffers() const;
   bool hasProgressOrSummaryFor(const Link &link, bool joining) const;
   void receiveHeldVersion(const ExchangeMessage &message, Link &link, TimeMs now);
+  /// @returns when this node first learned that the peer holds a version that this node lacks.
+  TimeMs lackedSince(const Link &link) const;
   void compareDigests(const ExchangeMessage &message, Link &link);
   void receiveAck(const ExchangeMessage &message, Link &link) const;
   void refuteGoneRecord(TimeMs now);
--- a/src/mesh/mesh_timings.h
+++ b/src/mesh/mesh_timings.h
@@ -24,6 +24,11 @@
   DurationMs HeadPollPeriod = 10000;     ///< Between reads of the head, in addition to the watch.
   /// Time in which one of the nodes of a data centre that watch the document starts a new watch.
   DurationMs WatchPeriod = 9500;
+  /// Time for which the store may owe a root an answer until the next root takes its duties.
+  DurationMs StoreSilenceLimit = 5000;
+  /// Time without silence after which a root has its duties at the store again. Longer than an
+  /// exchange may take, so that a root which is still turned away states it in time.
+  DurationMs StoreReturnTime = 28000;
   DurationMs FloorTimeout = 3000;   ///< Timeout of a version floor request to a parent.
   DurationMs BootstrapDelay = 1500; ///< Delay until a node without peers acts as a root.
 
@@ -46,6 +51,8 @@
     times.ProbeTimeout = scaled(base.ProbeTimeout, 500);
     times.HeadPollPeriod = scaled(base.HeadPollPeriod, 1000);
     times.WatchPeriod = scaled(base.WatchPeriod, 500);
+    times.StoreSilenceLimit = scaled(base.StoreSilenceLimit, 500);
+    times.StoreReturnTime = scaled(base.StoreReturnTime, 1500);
     times.FloorTimeout = scaled(base.FloorTimeout, 500);
     times.BootstrapDelay = scaled(base.BootstrapDelay, 300);
     return times;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -22,6 +22,9 @@
 
 constexpr const char *ProgramVersion = "0.1.0";
 constexpr int MaxPort = 65535;
+/// Checks of a settings file that never settles after which it is read as it is. What is half
+/// written fails the checks of its values, and then changes nothing.
+constexpr int MaxChangedChecks = 4;
 
 std::string environmentVariable(const SettingRow &row) {
   return "JASMINE_" + absl::AsciiStrToUpper(absl::StrReplaceAll(row.Name, {{"-", "_"}}));
@@ -114,11 +117,14 @@
 }
 
 bool SettingsFileWatch::check(const std::optional<std::string> &text, bool signalled) {
-  const bool isComplete = text.has_value() && text == Last;
+  const bool isSettled = text == Last;
   Last = text;
-  if (!signalled && (!isComplete || text == InEffect))
+  const bool isChanged = text.has_value() && text != InEffect;
+  ChangedChecks = isChanged ? ChangedChecks + 1 : 0;
+  if (!signalled && (!isChanged || (!isSettled && ChangedChecks < MaxChangedChecks)))
     return false;
   InEffect = text;
+  ChangedChecks = 0;
   return true;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -71,7 +71,7 @@
   explicit SettingsFileWatch(const std::string &text) : InEffect(text), Last(text) {}
 
   /// Checks the file. A file that changes without a signal may be half written, and counts once two
-  /// checks have found the same.
+  /// checks have found the same, or several have found other content each time.
   /// @param text present bytes of the file; nullopt if it can't be read.
   /// @param signalled whether a signal says that the file has changed.
   /// @returns whether the file is to be read.
@@ -80,6 +80,7 @@
 private:
   std::optional<std::string> InEffect;
   std::optional<std::string> Last; ///< At the last check.
+  int ChangedChecks = 0; ///< Checks in succession that found other content than is in effect.
 };
 
 /// Parses the settings at program start. Prints help, version, settings or an error if the program
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -66,7 +66,9 @@
   std::uint64_t RefusedDocuments = 0; ///< Versions of configurations and orders that were refused.
   /// Reasons for which entries of the operators are refused at present, by key.
   std::map<std::string, std::string> RefusedNow;
-  DurationMs DocumentAge = 0; ///< Of this node's own knowledge of the store's document; 0: none.
+  DurationMs DocumentAge = 0;  ///< Of this node's own knowledge of the store's document; 0: none.
+  DurationMs StoreSilence = 0; ///< For which the store has owed this node an answer.
+  bool StandsIn = false; ///< This node reads the store in place of roots that it doesn't answer.
   ConfigTransferCounts Transfers;
   std::uint64_t LinkFailures = 0;
   EvidenceCounters EvidenceReports;
--- a/src/traffic/announcement.cpp
+++ b/src/traffic/announcement.cpp
@@ -117,15 +117,22 @@
 }
 
 bool UpstreamTracker::trackRival(const Announcement &announcement, TimeMs now) {
-  const bool isKnown = LatestRival.has_value() && announcement.ID == LatestRival->ID &&
-                       announcement.ProcessStart == LatestRival->ProcessStart;
-  if (!isKnown) {
-    LatestRival = {announcement.ID, announcement.ProcessStart, announcement.Sequence, now};
+  const auto known = std::find_if(Rivals.begin(), Rivals.end(), [&announcement](const Rival &it) {
+    return announcement.ID == it.ID && announcement.ProcessStart == it.ProcessStart;
+  });
+  if (known == Rivals.end()) {
+    if (Rivals.size() >= MaxRivals)
+      Rivals.erase(
+          std::min_element(Rivals.begin(), Rivals.end(), [](const Rival &left, const Rival &right) {
+            return left.LastAt < right.LastAt;
+          }));
+    Rivals.push_back({announcement.ID, announcement.ProcessStart, announcement.Sequence, now, now});
     return false;
   }
-  const bool rises = announcement.Sequence == 0 || announcement.Sequence > LatestRival->Sequence;
-  LatestRival->Sequence = std::max(LatestRival->Sequence, announcement.Sequence);
-  return rises && now >= LatestRival->FirstAt + HeartbeatInterval / 2;
+  const bool rises = announcement.Sequence == 0 || announcement.Sequence > known->Sequence;
+  known->Sequence = std::max(known->Sequence, announcement.Sequence);
+  known->LastAt = now;
+  return rises && now >= known->FirstAt + HeartbeatInterval / 2;
 }
 
 bool UpstreamTracker::contradictsWithdrawal(const Announcement &announcement, TimeMs now) {
@@ -150,7 +157,7 @@
     if (const std::optional<UpstreamDeparture> departed = departure(); departed.has_value())
       Tombstones[Current->ID] = {now, *departed};
   }
-  LatestRival.reset();
+  Rivals.clear();
   Announcement known = Current.value_or(Announcement{});
   known.Sequence = announcement.Sequence;
   known.WarmUpLeft = announcement.WarmUpLeft;
--- a/src/traffic/announcement.h
+++ b/src/traffic/announcement.h
@@ -43,6 +43,8 @@
 
 /// Largest number of slots that an upstream may announce.
 constexpr std::uint64_t MaxAnnouncedSlots = 100000;
+/// Processes beside the current one whose heartbeats are followed, at most.
+constexpr std::size_t MaxRivals = 8;
 /// Longest warm-up of an upstream that is believed.
 constexpr DurationMs MaxWarmUpLeft = 600 * MsPerSecond;
 
@@ -125,6 +127,7 @@
     TimeMs ProcessStart = 0;
     std::uint64_t Sequence = 0; ///< Highest so far.
     TimeMs FirstAt = 0;         ///< Steady clock.
+    TimeMs LastAt = 0;          ///< Steady clock.
   };
   /// Record of an upstream that departed while it was not the current one.
   struct Tombstone {
@@ -152,7 +155,7 @@
   DurationMs HeartbeatInterval;
   ServiceName ConfiguredService;
   std::optional<Announcement> Current;
-  std::optional<Rival> LatestRival;
+  std::vector<Rival> Rivals;
   std::map<UpstreamID, Tombstone> Tombstones;
   TimeMs LastHeartbeatAt = 0;
   bool Withdrawn = false;
--- a/src/traffic/metrics.cpp
+++ b/src/traffic/metrics.cpp
@@ -112,6 +112,8 @@
   addGauge(out, "store_reachable", Control.StoreReachable ? 1 : 0);
   addGauge(out, "config_proof_age_ms", Control.ProofAge);
   addGauge(out, "store_document_age_ms", Control.DocumentAge);
+  addGauge(out, "store_silence_ms", Control.StoreSilence);
+  addGauge(out, "store_stand_in", Control.StandsIn ? 1 : 0);
   addGauge(out, "config_deltas_sent", Control.Transfers.Deltas);
   addGauge(out, "config_snapshots_sent", Control.Transfers.Snapshots);
   addGauge(out, "config_bytes_sent", Control.Transfers.Bytes);
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -233,6 +233,7 @@
   to.setProofAgeMs(message.ProofAge);
   to.setProofVersion(message.ProofVersion);
   to.setProofEra(message.ProofEra);
+  to.setStoreSilent(message.StoreSilent);
   writeSummary(to.initSummary(), message.Summary);
 }
 
@@ -259,6 +260,7 @@
   message.ProofAge = from.getProofAgeMs();
   message.ProofVersion = from.getProofVersion();
   message.ProofEra = from.getProofEra();
+  message.StoreSilent = from.getStoreSilent();
   message.Summary = readSummary(from.getSummary());
   return message;
 }
--- a/tests/announcement_test.cpp
+++ b/tests/announcement_test.cpp
@@ -378,3 +378,19 @@
                 HeartbeatResult::Stale));
   BOOST_TEST(tracker.current()->ID.str() == "i-1");
 }
+
+// Guards against a living process that is kept out because each late heartbeat of an earlier one
+// starts the wait for its next heartbeat again.
+BOOST_AUTO_TEST_CASE(late_heartbeats_between_those_of_a_process_do_not_keep_it_out) {
+  UpstreamTracker tracker(HeartbeatInterval);
+  // The clock of the process that has ended was ahead of the living one's.
+  tracker.applyHeartbeat(heartbeat("i-3", 90, 5), Now);
+  TimeMs now = Now + Silence;
+  for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
+    tracker.applyHeartbeat(heartbeat("i-2", 20, sequence), now);
+    tracker.applyHeartbeat(heartbeat("i-1", 10, 40 + sequence), now + HeartbeatInterval / 2);
+    now += HeartbeatInterval;
+  }
+  BOOST_TEST(tracker.current()->ID.str() == "i-2");
+  BOOST_TEST(tracker.acceptsWork());
+}
--- a/tests/fault_soak.sh
+++ b/tests/fault_soak.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Randomised soak test with real processes on loopback. Under load and configuration changes, it
 # kills, pauses, stops and restarts processes; delays, resets and blocks connections (in one or both
-# directions) through a proxy; makes the store unavailable, slow, lose responses or seconds; delivers
+# directions) through a proxy; makes the store unavailable, slow, lose responses or seconds, or turn
+# away the hosts of a data centre while versions come quickly; delivers
 # heartbeats of earlier upstreams late, with clocks that differ between hosts; rewrites settings; and
 # takes away the API key of some callers.
 # Compares the outcomes reported to callers with the runs that the upstreams logged.
@@ -180,6 +181,13 @@
   sleep "$3"
   link "$1" pass
 }
+turn_away() { # DATA_CENTRE MODE PAUSE STEP: its hosts lose the store while versions come quickly
+  local n it
+  for n in $(seq "$1" 3 $HOSTS); do link "store$n" "$2" 150; done
+  for it in 1 2 3 4 5; do settle_change $((1000 + $4 * 10 + it)); done
+  sleep "$3"
+  for n in $(seq "$1" 3 $HOSTS); do link "store$n" pass; done
+}
 inject_store_fault() { # FAULT PAUSE END
   store_fault "$1"
   sleep "$2"
@@ -240,7 +248,7 @@
 # A fault that is known to break checks: CI passes over it and says so, runs by hand play it.
 plays_store_loss() { [ "${CI:-}" != true ] || ! known_red "the store loses seconds"; }
 inject() { # STEP: starts a random fault
-  draw 20
+  draw 21
   kind=$R
   draw $HOSTS
   n=$((R + 1))
@@ -266,6 +274,7 @@
   14) exclusively upstream $n exclusively node $n exclusively gate $n exclusively rpc $n hold_up_heartbeat $n again & ;;
   15) exclusively upstream $n exclusively node $n exclusively gate $n exclusively rpc $n hold_up_heartbeat $n first & ;;
   16 | 17) exclusively node $n rename_service $n & ;;
+  20) exclusively store dc$(((n - 1) % 3 + 1)) turn_away $(((n - 1) % 3 + 1)) "$mode" "$pause" "$1" & ;;
   18 | 19) plays_store_loss && exclusively store 0 restore_store $((${pause%.*} + 1)) & ;;
   esac
 }
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -583,3 +583,83 @@
   mesh.exchange("leaf", "relay", MessageFault::None, MessageFault::None);
   BOOST_TEST(mesh.node("relay").departedAt(HostID("leaf")) == "left later");
 }
+
+namespace {
+
+/// A node that reads the document itself, and a peer that states versions to it.
+class StormFixture {
+public:
+  explicit StormFixture(bool hasLocalPeer)
+      : Reader({HostID("reader"), 1, DataCentreName("b"), "reader:1", "reader:2"}, StartTime),
+        Peer({HostID("peer"), 1, DataCentreName(hasLocalPeer ? "b" : "a"), "peer:1", "peer:2"},
+             StartTime) {}
+
+  /// Lets the peer hold a newer version and state it.
+  void state(ConfigVersion version, TimeMs now) {
+    const SnapshotPtr held = Peer.config().held();
+    Peer.applyConfig(
+        diffSnapshots(held.get(), *seededSnapshot(version, static_cast<std::uint32_t>(version))));
+    Reader.receiveMessage(Peer.buildMessage(HostID("reader"), false), now);
+  }
+
+  /// Fetches the configuration if the reader would.
+  /// @param minAge see MeshNode::startFetch().
+  /// @returns whether it did.
+  bool fetch(DurationMs minAge, TimeMs now) {
+    if (!Reader.startFetch(minAge, now).has_value())
+      return false;
+    const HeldConfig held = Reader.heldForFetch();
+    Reader.finishFetch(
+        *decodeDelta(Peer.config().encodedDeltaFrom(held.Version, held.Digest)->Bytes), now);
+    return true;
+  }
+
+  MeshNode Reader;
+  MeshNode Peer;
+};
+
+} // namespace
+
+// Guards against a wait that each newer version starts again: the node would get no version for as
+// long as a storm lasts.
+BOOST_AUTO_TEST_CASE(a_storm_of_versions_does_not_put_off_a_fetch) {
+  constexpr DurationMs MinAge = 300;
+  for (const bool hasLocalPeer : {true, false}) {
+    for (const DurationMs gap : {DurationMs{10}, DurationMs{200}, DurationMs{299}}) {
+      StormFixture fixture(hasLocalPeer);
+      TimeMs fetchedAt = StartTime;
+      for (ConfigVersion version = 1; version <= 200; ++version) {
+        const TimeMs now = StartTime + version * gap;
+        fixture.state(version, now);
+        if (fixture.fetch(MinAge, now))
+          fetchedAt = now;
+        BOOST_TEST(now - fetchedAt <= MinAge + 2 * gap, "gap " << gap << ", version " << version);
+      }
+    }
+  }
+}
+
+// A node that gets each version itself in time fetches none from its peers.
+BOOST_AUTO_TEST_CASE(a_version_is_not_fetched_while_the_node_can_still_read_it) {
+  StormFixture fixture(true);
+  for (ConfigVersion version = 1; version <= 50; ++version) {
+    const TimeMs statedAt = StartTime + version * 200;
+    fixture.state(version, statedAt);
+    BOOST_TEST(!fixture.fetch(300, statedAt + 250));
+    const SnapshotPtr held = fixture.Reader.config().held();
+    fixture.Reader.applyConfig(
+        diffSnapshots(held.get(), *seededSnapshot(version, static_cast<std::uint32_t>(version))));
+  }
+}
+
+// Guards against a peer that is avoided for long because an earlier version was refused, although
+// it holds a later one.
+BOOST_AUTO_TEST_CASE(a_refused_version_does_not_put_off_the_next_one) {
+  ConfigFetch fetch(200);
+  const ConfigOffer bad{HostID("peer"), 4, StartTime, true, false};
+  BOOST_TEST(fetch.start({bad}, 0, StartTime).has_value());
+  fetch.endRefused(StartTime);
+  BOOST_TEST(!fetch.start({bad}, 0, StartTime + 1000).has_value());
+  const ConfigOffer next{HostID("peer"), 5, StartTime, true, false};
+  BOOST_TEST(fetch.start({next}, 0, StartTime + 1).has_value());
+}
