Read each figure that a deployment fills in, and bound what is out of range

Callers saw: after the operators changed grace_s from 6 to 6.5 and restarted the machines in turn, no process was left and no request was served.

Cause: stop-time, retry-slack, in-force-time, heartbeat-interval and revocation-time were whole numbers with a range, capacity a text of 16 characters. Each other form was an error, and an error at the start ends the process, on all hosts at once.

Why it works: the six are decimal figures. Limits are rounded down to milliseconds but never to 0, which may mean "off", and a small share of a core counts as one thousandth.

The messages of whole numbers say "a whole number from".

--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -8,10 +8,10 @@
 
 #include "platform_environment.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include <cmath>
 #include <csignal>
 #include <iostream>
 #include <set>
@@ -23,7 +23,7 @@
 
 const std::vector<SettingRow> SettingTable = {
     {"host", SettingType::Text, 1, 128, "", "", "Name of this host; must be unique in the mesh"},
-    {"data-centre", SettingType::Text, 1, 64, "", "", "Name of the data centre of this host"},
+    {"data-centre", SettingType::Text, 1, 128, "", "", "Name of the data centre of this host"},
     {"address", SettingType::Text, 1, 64, "127.0.0.1", "", "IP that this host listens on"},
     {"advertise", SettingType::Text, 0, 64, "", "",
      "IP under which other nodes reach this host; empty: same as address"},
@@ -46,17 +46,21 @@
      "IP:port list for management calls, comma-separated; overrides address and management-port"},
     {"local-service", SettingType::Text, 0, 128, "", "",
      "Service that runs on this host; sent to upstreams as the caller's service"},
-    {"in-force-time", SettingType::Number, 500, 600000, "19000", "ms",
+    {FiguresSetting, SettingType::Choice, 0, 0, "checked", "",
+     "What happens if a figure is out of range: `checked`, it is an error; `bounded`, the nearest "
+     "is used, with a warning",
+     "checked,bounded"},
+    {"in-force-time", SettingType::Figure, 500, 600000, "19000", "ms",
      "Maximum time until a configuration change is in force on all nodes"},
-    {"heartbeat-interval", SettingType::Number, 50, 60000, "1250", "ms",
+    {"heartbeat-interval", SettingType::Figure, 50, 60000, "1250", "ms",
      "Interval at which the upstream sends heartbeats"},
-    {"stop-time", SettingType::Number, 1, 600, "6", "seconds",
+    {"stop-time", SettingType::Figure, 0.1, 600, "6", "seconds",
      "Maximum time from a stop or drain request until the process exits"},
-    {"retry-slack", SettingType::Number, 0, 100000, "60", "requests",
+    {"retry-slack", SettingType::Figure, 0, 100000, "60", "requests",
      "Retries per service that all nodes together may make beyond their retry budgets"},
-    {"capacity", SettingType::Text, 0, 16, "", "cores",
-     "CPU of this host, as a decimal; empty: not known. Hosts with more take on more duties"},
-    {"revocation-time", SettingType::Number, 0, 600000, "0", "ms",
+    {"capacity", SettingType::Figure, 0.001, 1e6, "", "cores",
+     "CPU of this host; empty: not known. Hosts with more take on more duties"},
+    {"revocation-time", SettingType::Figure, 0, 600000, "0", "ms",
      "Time after which a key that a configuration took away is refused everywhere, whether a node "
      "is "
      "in touch or not; 0: as soon as a node holds the configuration"},
@@ -84,8 +88,11 @@
   return std::hash<std::string>()(host) ^ incarnation;
 }
 
-DurationMs milliseconds(const Settings &values, const std::string &name) {
-  return static_cast<DurationMs>(values.number(name));
+/// @returns a time limit in whole milliseconds, rounded down, but not to 0.
+/// @param unit of the setting, milliseconds.
+DurationMs timeLimit(const Settings &values, const std::string &name, DurationMs unit = 1) {
+  const double time = values.figure(name).value_or(0) * static_cast<double>(unit);
+  return static_cast<DurationMs>(time > 0 && time < 1 ? 1 : time);
 }
 
 /// Settings that take effect at SIGHUP; all others need a restart.
@@ -95,9 +102,9 @@
 ApplySettings reloadableSettings(const Settings &values) {
   ApplySettings settings;
   settings.LocalService = ServiceName(values.text("local-service"));
-  settings.HeartbeatInterval = milliseconds(values, "heartbeat-interval");
-  settings.StopTime = milliseconds(values, "stop-time") * MsPerSecond;
-  settings.RetrySlack = static_cast<double>(values.number("retry-slack"));
+  settings.HeartbeatInterval = timeLimit(values, "heartbeat-interval");
+  settings.StopTime = timeLimit(values, "stop-time", MsPerSecond);
+  settings.RetrySlack = values.figure("retry-slack").value_or(0);
   return settings;
 }
 
@@ -124,8 +131,8 @@
   traffic.HeartbeatInterval = reloadable.HeartbeatInterval;
   traffic.StopTime = reloadable.StopTime;
   traffic.RetrySlack = reloadable.RetrySlack;
-  traffic.RevocationTime = milliseconds(values, "revocation-time");
-  traffic.InForceTime = milliseconds(values, "in-force-time");
+  traffic.RevocationTime = timeLimit(values, "revocation-time");
+  traffic.InForceTime = timeLimit(values, "in-force-time");
   traffic.StoreAddress = values.text("store");
   traffic.Secret = values.text("secret");
   traffic.MaxBody = static_cast<std::size_t>(values.number("max-body"));
@@ -137,11 +144,9 @@
   return traffic;
 }
 
-/// @returns the CPU of the host, thousandths of a core; 0 if the text is no positive number.
-std::uint32_t capacityOf(const std::string &cores) {
-  double value = 0;
-  const bool valid = absl::SimpleAtod(cores, &value) && value > 0 && value < 1e6;
-  return valid ? static_cast<std::uint32_t>(value * 1000) : 0;
+/// @returns the CPU of the host, thousandths of a core; 0: not known.
+std::uint32_t capacityOf(const Settings &values) {
+  return static_cast<std::uint32_t>(std::lround(values.figure("capacity").value_or(0) * 1000));
 }
 
 ControlSettings controlSettings(const Settings &values, std::uint64_t incarnation) {
@@ -155,29 +160,35 @@
                       DataCentreName(values.text("data-centre")),
                       absl::StrCat(reachableIp, ":", values.number("rpc-port")),
                       absl::StrCat(reachableIp, ":", values.number("gate-port")),
-                      capacityOf(values.text("capacity"))};
+                      capacityOf(values)};
   control.Seeds = values.list("seeds");
-  control.Times = MeshTimings::forPropagationBound(milliseconds(values, "in-force-time"));
+  control.Times = MeshTimings::forPropagationBound(timeLimit(values, "in-force-time"));
   control.Tree.Roots = static_cast<std::size_t>(values.number("roots"));
-  control.RevocationTime = milliseconds(values, "revocation-time");
-  control.InForceTime = milliseconds(values, "in-force-time");
+  control.RevocationTime = timeLimit(values, "revocation-time");
+  control.InForceTime = timeLimit(values, "in-force-time");
   control.Secret = values.text("secret");
   control.RandomSeed = seedFrom(values.text("host"), incarnation) + 1;
   return control;
 }
 
+void logWarnings(const ParsedSettings &parsed) {
+  for (const std::string &warning : parsed.Warnings)
+    LOG4CXX_WARN(loggerOf("main"), warning);
+}
+
 /// Reloads the settings and applies those in ReloadableSettings. Others that have changed take
 /// effect after a restart and are logged. If any setting is invalid, none is applied.
 /// @param applied settings in effect; updated.
 void reloadSettings(Settings &applied, TrafficMailbox &traffic, int argc, char **argv) {
   const log4cxx::LoggerPtr logger = loggerOf("main");
   const absl::StatusOr<ParsedSettings> parsed =
-      parseSettings("jasmined", "Node of the jasmineloom mesh", SettingTable, argc, argv);
+      parseSettings("jasmined", "Node of the jasmineloom mesh", SettingTable, argc, argv, &applied);
   if (!parsed.ok()) {
     LOG4CXX_ERROR(logger, "settings reload failed, nothing changed: "
                               << std::string(parsed.status().message()));
     return;
   }
+  logWarnings(*parsed);
   const std::string level = parsed->Values.text("log-level");
   if (absl::Status status = setLogLevel(level); !status.ok())
     LOG4CXX_ERROR(logger, "settings reload: " << std::string(status.message()));
@@ -232,6 +243,7 @@
   const auto &parsed = std::get<ParsedSettings>(started);
   const Settings &values = parsed.Values;
   startLogging(values.text("log-format"), values.text("log-level"));
+  logWarnings(parsed);
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -4,12 +4,14 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
 #include <boost/program_options.hpp>
 #include <cxxopts.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -36,18 +38,37 @@
                                                  "\" is not ", expected));
 }
 
+std::string numberText(double value) { return absl::StrFormat("%.15g", value); }
+
+std::string rangeText(const SettingRow &row) {
+  return absl::StrCat(numberText(row.Min), " to ", numberText(row.Max));
+}
+
+std::optional<double> decimalOf(const std::string &text) {
+  double value = 0;
+  return absl::SimpleAtod(text, &value) && !std::isnan(value) ? std::optional(value) : std::nullopt;
+}
+
+bool isInRange(const SettingRow &row, double value) { return value >= row.Min && value <= row.Max; }
+
 absl::Status check(const SettingRow &row, const std::string &value) {
   switch (row.Type) {
   case SettingType::Text:
-    if (static_cast<long>(value.size()) < row.Min || static_cast<long>(value.size()) > row.Max)
-      return invalid(row, value,
-                     absl::StrCat("a string of ", row.Min, " to ", row.Max, " characters"));
+    if (!isInRange(row, static_cast<double>(value.size())))
+      return invalid(row, value, absl::StrCat("a string of ", rangeText(row), " characters"));
     return absl::OkStatus();
   case SettingType::Number: {
-    std::int64_t number = 0;
-    if (!absl::SimpleAtoi(value, &number) || number < row.Min || number > row.Max)
+    const std::optional<double> number = decimalOf(value);
+    if (!number.has_value() || !isInRange(row, *number) || *number != std::floor(*number))
       return invalid(row, value,
-                     absl::StrCat("a number from ", row.Min, " to ", row.Max, " ", row.Unit));
+                     absl::StrCat("a whole number from ", rangeText(row), " ", row.Unit));
+    return absl::OkStatus();
+  }
+  case SettingType::Figure: {
+    const std::optional<double> figure = decimalOf(value);
+    const bool isOpen = value.empty() && *row.Default == '\0';
+    if (!isOpen && (!figure.has_value() || !isInRange(row, *figure)))
+      return invalid(row, value, absl::StrCat("a number from ", rangeText(row), " ", row.Unit));
     return absl::OkStatus();
   }
   case SettingType::Address:
@@ -70,15 +91,36 @@
 
 std::string helpText(const SettingRow &row) {
   std::string text = absl::StrCat(row.Help, " [", environmentVariable(row));
-  if (row.Type == SettingType::Number)
-    absl::StrAppend(&text, ", ", row.Min, " to ", row.Max, " ", row.Unit);
+  if (row.Type == SettingType::Number || row.Type == SettingType::Figure)
+    absl::StrAppend(&text, ", ", rangeText(row), " ", row.Unit);
   if (row.Type == SettingType::Choice)
     absl::StrAppend(&text, ", ", row.Choices);
   return text + "]";
 }
 
+/// Replaces a figure that check() refused.
+/// @param fallback used if the value is no number.
+void boundFigure(const SettingRow &row, const std::string &fallback, std::string &value,
+                 ParsedSettings &parsed) {
+  const std::optional<double> figure = decimalOf(value);
+  const std::string used =
+      figure.has_value() ? numberText(std::clamp(*figure, row.Min, row.Max)) : fallback;
+  parsed.Warnings.push_back(
+      absl::StrCat("setting ", row.Name, " (", environmentVariable(row), "): \"", value,
+                   "\" is not a number from ", rangeText(row), " ", row.Unit, "; ",
+                   used.empty() ? "it counts as not set" : used + " is used"));
+  value = used;
+}
+
 constexpr const char *SettingsFileFlag = "settings-file";
 
+/// A value and where it comes from.
+struct StatedValue {
+  std::string Text;
+  bool IsFlag = false;
+  bool IsInFile = false;
+};
+
 /// Parses a settings file.
 /// @param text bytes of the file.
 /// @returns InvalidArgument if the file has an unknown setting.
@@ -160,6 +202,10 @@
   return absl::StrSplit(value, ',');
 }
 
+std::optional<double> Settings::figure(const std::string &name) const {
+  return decimalOf(Values.at(name));
+}
+
 std::string Settings::print() const {
   std::string out;
   for (const auto &[name, value] : Values)
@@ -169,7 +215,7 @@
 
 absl::StatusOr<ParsedSettings> parseSettings(const std::string &program, const std::string &about,
                                              const std::vector<SettingRow> &table, int argc,
-                                             const char *const *argv) {
+                                             const char *const *argv, const Settings *inEffect) {
   cxxopts::Options options(program, about);
   for (const SettingRow &row : table)
     options.add_options()(row.Name, helpText(row),
@@ -214,24 +260,36 @@
         return read.status();
       file = *std::move(read);
     }
+    std::map<std::string, StatedValue> stated;
     for (const SettingRow &row : table) {
-      std::string value = result[row.Name].as<std::string>();
+      StatedValue &value = stated[row.Name];
+      value = {result[row.Name].as<std::string>(), result.count(row.Name) != 0, false};
       const char *variable = std::getenv(environmentVariable(row).c_str());
-      if (result.count(row.Name) == 0) {
-        const auto it = file.find(row.Name);
-        if (it != file.end())
-          value = it->second;
-        if (variable != nullptr && *variable != '\0')
-          value = variable;
-      }
-      if (absl::Status status = check(row, value); !status.ok()) {
-        const bool fromFile = result.count(row.Name) == 0 &&
-                              (variable == nullptr || *variable == '\0') && !path.empty();
-        return fromFile ? absl::InvalidArgumentError(
-                              absl::StrCat("settings file \"", path, "\": ", status.message()))
-                        : status;
+      const auto it = file.find(row.Name);
+      if (value.IsFlag)
+        continue;
+      if (variable != nullptr && *variable != '\0')
+        value.Text = variable;
+      else if (it != file.end())
+        value = {it->second, false, true};
+    }
+    const auto figures = stated.find(FiguresSetting);
+    const bool bounds = figures != stated.end() && figures->second.Text == BoundedFigures;
+    for (const SettingRow &row : table) {
+      StatedValue &value = stated[row.Name];
+      absl::Status status = check(row, value.Text);
+      if (!status.ok() && bounds && row.Type == SettingType::Figure && !value.IsFlag) {
+        boundFigure(row, inEffect == nullptr ? row.Default : inEffect->text(row.Name), value.Text,
+                    parsed);
+        status = absl::OkStatus();
       }
-      parsed.Values.set(row.Name, value);
+      if (!status.ok())
+        return value.IsInFile ? absl::InvalidArgumentError(absl::StrCat("settings file \"", path,
+                                                                        "\": ", status.message()))
+                              : status;
+      if (row.Type == SettingType::Number)
+        value.Text = numberText(*decimalOf(value.Text));
+      parsed.Values.set(row.Name, value.Text);
     }
     if (result.count("print-settings") != 0)
       parsed.Message = parsed.Values.print();
--- a/src/settings.h
+++ b/src/settings.h
@@ -14,15 +14,28 @@
 /// Exit code for invalid settings.
 constexpr int ExitBadSettings = 2;
 
-enum class SettingType : std::uint8_t { Text, Number, Address, Choice };
+enum class SettingType : std::uint8_t {
+  Text,
+  Number, ///< Whole; 8080.0 is one too.
+  Figure, ///< Any decimal number. See BoundedFigures for one that is out of range.
+  Address,
+  Choice,
+};
+
+/// Name and value of the setting by which a figure that is out of range is replaced by the nearest
+/// one in range, with a warning, and one that is no number by the one in effect, at the start by
+/// the default. It is for settings that a deployment fills in: a figure that this program can't use
+/// must not end the processes of all hosts. Figures in flags are always checked.
+constexpr const char *FiguresSetting = "figures";
+constexpr const char *BoundedFigures = "bounded";
 
 /// Declares one setting of a program.
 struct SettingRow {
   /// Flag; the environment variable is JASMINE_ and the name in capitals, with _ for -.
   const char *Name;
   SettingType Type;
-  long Min; ///< Of a number's value or a text's length; 0: an address may be empty.
-  long Max; ///< Of a number's value or a text's length.
+  double Min; ///< Of a number's value or a text's length; 0: an address may be empty.
+  double Max; ///< Of a number's value or a text's length.
   const char *Default;
   const char *Unit;
   const char *Help;
@@ -34,6 +47,8 @@
 public:
   const std::string &text(const std::string &name) const { return Values.at(name); }
   long number(const std::string &name) const { return std::stol(Values.at(name)); }
+  /// @returns the value of a figure; nullopt if it is empty.
+  std::optional<double> figure(const std::string &name) const;
   /// @returns the values of a comma-separated list.
   std::vector<std::string> list(const std::string &name) const;
   void set(const std::string &name, std::string value) { Values[name] = std::move(value); }
@@ -50,16 +65,19 @@
   std::vector<std::string> Arguments; ///< Positional arguments.
   std::string FilePath;               ///< Settings file that was read; empty: none.
   std::string FileText;               ///< Bytes that were read from it.
+  std::vector<std::string> Warnings;  ///< Figures that were bounded or replaced.
   /// Help, version or settings to print, after which the program exits; empty: it runs.
   std::string Message;
 };
 
 /// Parses and validates all settings. Precedence: flags, environment variables, the settings file
 /// (named by a flag or variable, one "name = value" per line), defaults.
+/// @param inEffect settings that are in effect already; null at the start.
 /// @returns InvalidArgument with the setting, its value and the allowed range.
 absl::StatusOr<ParsedSettings> parseSettings(const std::string &program, const std::string &about,
                                              const std::vector<SettingRow> &table, int argc,
-                                             const char *const *argv);
+                                             const char *const *argv,
+                                             const Settings *inEffect = nullptr);
 
 /// @returns the bytes of a settings file; nullopt if it can't be read.
 std::optional<std::string> settingsFileText(const std::string &path);
