Believe a store that lost seconds only once a witness covers its era

Cause: a node that lives through the change of the era knows which versions had been accepted. One that starts has nothing but the store, took the older version from it and proved it by the same store; nothing made it hear of one other node.

Why it works: an era is believed by a process that lived through its beginning, that hears of it from a node that covers it, or that finds its record in the store. The copy from which a store comes back has the record of an earlier era, so the store can't vouch for itself. Until then a starting process serves nothing, and its floor is the version of the node that told it. The first start of a mesh finds no record and waits for nothing; where nobody answers, the store is believed after six bootstrap delays.

--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -185,6 +185,7 @@
   proofVersion @19 :UInt64;
   proofEra @20 :UInt64;        # Era of the store that proved it.
   storeSilent @21 :Bool;       # The sender asks the store and gets no answers.
+  coveredEra @22 :UInt64;      # The sender knows what was accepted before this era of the store; 0: none.
 }
 
 struct VersionCounts {
--- a/src/control/control_proof.cpp
+++ b/src/control/control_proof.cpp
@@ -75,6 +75,8 @@
       .then([this, sentAt](StoreResponse response) -> kj::Promise<bool> {
         if (response.Result != StoreResult::Ok)
           return false;
+        if (!Coverage.covers(response.Era, steadyClockMs()))
+          return readEraRecord().then([] { return false; });
         const bool same =
             ProvedRevision != 0 && response.Revision == ProvedRevision && response.Era == ProvedEra;
         if (!same)
@@ -86,7 +88,8 @@
 kj::Promise<bool> ControlTask::proveByRead(const std::string &key) {
   const TimeMs sentAt = bootClockMs();
   return Store.send(StoreRead{key}).then([this, sentAt](StoreResponse response) {
-    if (response.Result != StoreResult::Ok || response.Entries.empty())
+    if (response.Result != StoreResult::Ok || response.Entries.empty() ||
+        !Coverage.covers(response.Era, steadyClockMs()))
       return false;
     const StoreEntry &entry = response.Entries.front();
     const bool same = entry.Revision == ProvedEntryRevision && response.Era == ProvedEra;
@@ -147,6 +150,7 @@
 ExchangeMessage ControlTask::buildMessage(const HostID &peer, bool joining) {
   ExchangeMessage message = Node.buildMessage(peer, joining);
   message.StoreSilent = StoreSilent;
+  message.CoveredEra = Coverage.latest();
   if (StoreSilent)
     ToldSilent.insert(peer);
   else
@@ -167,6 +171,11 @@
 void ControlTask::receiveMessage(const ExchangeMessage &message) {
   const StateChanges changes = Node.receiveMessage(message, steadyClockMs());
   Statements.record(message.Host, message.StoreSilent, steadyClockMs());
+  if (message.CoveredEra > Coverage.latest()) {
+    if (Coverage.latest() == 0)
+      Node.config().raiseFloor(message.HeldVersion);
+    Coverage.recordPeer(message.CoveredEra);
+  }
   if (needsProof()) {
     ProofStatement statement{message.Clock, message.Echo, std::nullopt, message.ProofVersion,
                              message.ProofEra};
--- a/src/control/control_store.cpp
+++ b/src/control/control_store.cpp
@@ -19,6 +19,10 @@
 constexpr std::int64_t DepartureLeaseSeconds = 120;
 constexpr DurationMs LeasePeriod = 10 * MsPerSecond;
 constexpr DurationMs FloorJitter = 200;
+constexpr DurationMs CoverageCheckPeriod = 50;
+/// Delay before a node records the era of the store, for each node that may do so before it; other
+/// nodes have told by then what they hold.
+constexpr DurationMs EraRecordDelay = 1 * MsPerSecond;
 /// Multiple of the bootstrap delay over which starting nodes without known peers spread their
 /// registrations: those that come later find the earlier ones and need not register.
 constexpr unsigned RegistrationSpread = 2;
@@ -85,6 +89,7 @@
 
 void ControlTask::handleNewEra() {
   const TimeMs now = steadyClockMs();
+  EraSeenAt = now;
   recordEvent("store", "era",
               absl::StrCat("the store has come back from an older copy, era ", Store.era(),
                            "; what it may have lost is read and written again"));
@@ -148,7 +153,9 @@
   return timer()
       .afterDelay((Settings.Times.BootstrapDelay / 2 + randomBelow(FloorJitter)) * kj::MILLISECONDS)
       .then(kj::mv(queryStore))
+      .then([this] { return readEraRecord(); })
       .then(kj::mv(queryParents))
+      .then([this] { return awaitCoverage(); })
       .then([this, departed] {
         Traffic.put(std::move(*departed));
         FloorConfirmed = true;
@@ -156,8 +163,77 @@
       });
 }
 
+kj::Promise<void> ControlTask::readEraRecord() {
+  if (Settings.Env.Store.EraHeader.empty())
+    return kj::READY_NOW;
+  return Store.send(StoreRead{EraKey}).then([this](StoreResponse response) {
+    if (response.Result != StoreResult::Ok)
+      return;
+    std::optional<EraRecord> record;
+    if (!response.Entries.empty())
+      record = decodeEraRecord(response.Entries.front().Value).value_or(EraRecord{});
+    RecordedEra = record.value_or(EraRecord{}).Era;
+    if (record.has_value() && record->Era == response.Era)
+      Node.config().raiseFloor(record->Version);
+    Coverage.recordRecord(record, response.Era);
+  });
+}
+
+kj::Promise<void> ControlTask::awaitCoverage() {
+  if (Coverage.covers(Store.era(), steadyClockMs()))
+    return kj::READY_NOW;
+  recordEvent("store", "era",
+              absl::StrCat("the store has come back from an older copy, era ", Store.era(),
+                           "; waiting for a node that knows what was accepted before"));
+  return awaitCoverageQuietly();
+}
+
+kj::Promise<void> ControlTask::awaitCoverageQuietly() {
+  if (Coverage.covers(Store.era(), steadyClockMs()))
+    return kj::READY_NOW;
+  return timer().afterDelay(CoverageCheckPeriod * kj::MILLISECONDS).then([this] {
+    return awaitCoverageQuietly();
+  });
+}
+
+void ControlTask::recordEra(TimeMs now) {
+  const std::uint64_t era = Store.era();
+  const bool isRecorded = era == 0 || RecordedEra == era;
+  if (isRecorded || EraCallPending || !FloorConfirmed || Node.config().heldVersion() == 0 ||
+      !usesStore(now) || Coverage.latest() < era)
+    return;
+  if (now < std::max(EraSeenAt, StartTime) + EraRecordDelay * (1 + proofRank(now)))
+    return;
+  EraCallPending = true;
+  spawn(writeEraRecord({era, Node.config().heldVersion()}), "era");
+}
+
+kj::Promise<void> ControlTask::writeEraRecord(const EraRecord &record) {
+  return Store.send(StoreRead{EraKey})
+      .then([this, record](StoreResponse response) -> kj::Promise<void> {
+        if (response.Result != StoreResult::Ok || response.Era != record.Era)
+          return kj::READY_NOW;
+        const StoreEntry entry = response.Entries.empty() ? StoreEntry{} : response.Entries.front();
+        const std::optional<EraRecord> known = decodeEraRecord(entry.Value);
+        if (known.has_value() && known->Era == record.Era) {
+          RecordedEra = record.Era;
+          return kj::READY_NOW;
+        }
+        return Store.send(StoreCompareAndSwap{EraKey, encodeEraRecord(record), entry.Revision, {}})
+            .then([this, record](StoreResponse written) {
+              if (written.Result == StoreResult::Ok && written.Era == record.Era)
+                RecordedEra = record.Era;
+            });
+      })
+      .then([this] {
+        EraCallPending = false;
+        EraSeenAt = steadyClockMs();
+      });
+}
+
 kj::Promise<void> ControlTask::storeLoop() {
   const TimeMs now = steadyClockMs();
+  recordEra(now);
   if (Store.calls() > 0 && Store.reachable() != StoreWasReachable) {
     StoreWasReachable = Store.reachable();
     recordEvent("store", "store",
--- a/src/control/control_task.cpp
+++ b/src/control/control_task.cpp
@@ -26,6 +26,9 @@
 constexpr DurationMs LoopRestartDelay = 100;
 constexpr DurationMs WatchRetryDelay = 1 * MsPerSecond;
 constexpr DurationMs DrainAnnounceDelay = 100;
+/// Multiple of the bootstrap delay after which a process that starts believes a store that has come
+/// back from an older copy, although no other node covers its era.
+constexpr DurationMs CoveragePatience = 6;
 /// Gain of the boot clock on the steady clock between two ticks that counts as a suspension of the
 /// machine.
 constexpr DurationMs MinSuspendedTime = 300;
@@ -52,10 +55,10 @@
       Node(Settings.Identity, steadyClockMs(), Settings.Times.ChildTimeout, Settings.Tree,
            Settings.Times.LinkRetryDelay),
       Store(traffic, Settings.Env.Store), Peers(Io, Settings.Secret, Settings.Identity.Host, Bytes),
-      Random(Settings.RandomSeed), Statements(Settings.Times.StoreReturnTime),
-      Watches(Settings.Times.WatchPeriod), Proof(ProofTimes::forBound(proofBound(Settings)).Step),
-      StartTime(steadyClockMs()), Errors(kj::heap<ErrorHandler>()),
-      Tasks(kj::heap<kj::TaskSet>(*Errors)) {
+      Random(Settings.RandomSeed), Coverage(CoveragePatience * Settings.Times.BootstrapDelay),
+      Statements(Settings.Times.StoreReturnTime), Watches(Settings.Times.WatchPeriod),
+      Proof(ProofTimes::forBound(proofBound(Settings)).Step), StartTime(steadyClockMs()),
+      Errors(kj::heap<ErrorHandler>()), Tasks(kj::heap<kj::TaskSet>(*Errors)) {
   KJ_SYSCALL(pipe(WakePipe));
   WakeStream =
       Io.lowLevelProvider->wrapInputFd(WakePipe[0], kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP);
@@ -191,7 +194,11 @@
 
 void ControlTask::handle(EvidenceUpdate &message) { sendEvidence(message.Reports); }
 
-void ControlTask::handle(const StoreReply &message) { Store.onReply(message); }
+void ControlTask::handle(const StoreReply &message) {
+  if (message.Complete)
+    Coverage.recordAnswer(message.Era, steadyClockMs());
+  Store.onReply(message);
+}
 
 void ControlTask::handle(const StoreWatchEvent &message) {
   if (!message.Ended) {
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -11,6 +11,7 @@
 #include "mesh/peer_connection.h"
 #include "rollout/rollout_controller_base.h"
 #include "stall_watch.h"
+#include "store/era_coverage.h"
 #include "store/store_client.h"
 #include "timeline.h"
 #include "workspace/access_rule.h"
@@ -187,6 +188,14 @@
   kj::Promise<void> tickLoop();
   kj::Promise<void> controllerLoop();
   kj::Promise<void> confirmFloor();
+  /// Reads the store's record of its era.
+  kj::Promise<void> readEraRecord();
+  /// Waits until what the store shows may be believed.
+  kj::Promise<void> awaitCoverage();
+  kj::Promise<void> awaitCoverageQuietly();
+  /// Writes the record of the present era if it is missing and this node may.
+  void recordEra(TimeMs now);
+  kj::Promise<void> writeEraRecord(const EraRecord &record);
   /// @returns the prefix of the store's keys for departures of this host's upstream.
   std::string departureKeys() const;
   /// Reads the departures that were recorded before this process started.
@@ -370,6 +379,10 @@
   /// Those in this data centre by the last list; empty before the first one.
   std::optional<std::size_t> RegisteredRoots;
   DocumentReadState DocumentRead;
+  EraCoverage Coverage;
+  std::uint64_t RecordedEra = 0; ///< Of the record in the store, when it was last seen.
+  TimeMs EraSeenAt = 0;          ///< When the era changed last, or this process started.
+  bool EraCallPending = false;
   StoreContact Contact;
   bool StoreSilent = false;    ///< The store has owed this node an answer for too long.
   std::set<HostID> ToldSilent; ///< Peers to which the last message stated StoreSilent.
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -47,8 +47,9 @@
   /// Proof that ProofVersion was the newest configuration; NoProofAge: none.
   std::uint32_t ProofAge = NoProofAge;
   ConfigVersion ProofVersion = 0;
-  std::uint64_t ProofEra = 0; ///< Era of the store that proved it.
-  bool StoreSilent = false;   ///< The sender asks the store and gets no answers.
+  std::uint64_t ProofEra = 0;   ///< Era of the store that proved it.
+  bool StoreSilent = false;     ///< The sender asks the store and gets no answers.
+  std::uint64_t CoveredEra = 0; ///< See EraCoverage::latest().
 };
 
 /// The configuration that a node holds, stated when it fetches a newer one.
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -234,6 +234,7 @@
   to.setProofVersion(message.ProofVersion);
   to.setProofEra(message.ProofEra);
   to.setStoreSilent(message.StoreSilent);
+  to.setCoveredEra(message.CoveredEra);
   writeSummary(to.initSummary(), message.Summary);
 }
 
@@ -261,6 +262,7 @@
   message.ProofVersion = from.getProofVersion();
   message.ProofEra = from.getProofEra();
   message.StoreSilent = from.getStoreSilent();
+  message.CoveredEra = from.getCoveredEra();
   message.Summary = readSummary(from.getSummary());
   return message;
 }
