Look at the settings before a heartbeat that contradicts them is judged

Cause: the settings decide which service requests name, and a file that changes without a signal was looked at every 0.5 s, twice. A heartbeat that names another service is the sign that the file may have changed, and was judged by the settings of before.

Evidence: the line "settings reloaded" comes 0.65 s after the acknowledgement and ends the wrong names.

Why it works: such a heartbeat waits, for 200 ms at most, until the file has been looked at, so that its acknowledgement comes after the settings are in effect.

--- a/src/jasmined.cpp
+++ b/src/jasmined.cpp
@@ -11,9 +11,13 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include <chrono>
 #include <cmath>
+#include <condition_variable>
 #include <csignal>
+#include <deque>
 #include <iostream>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -214,22 +218,85 @@
 
 /// Period at which the settings file is checked for changes, which may come without a signal: they
 /// take effect within two of it.
-constexpr timespec SettingsCheckPeriod = {0, 500'000'000};
+constexpr std::chrono::milliseconds SettingsCheckPeriod{500};
+/// Time between two checks after another task has asked for a look at a file that has changed.
+constexpr std::chrono::milliseconds SettingsSettleTime{40};
 
-/// Reloads the settings at SIGHUP and when their file has changed, until the process is to end.
+/// Reloads the settings at SIGHUP, when their file has changed, and when another task asks for it.
+class SettingsTask {
+public:
+  SettingsTask(const ParsedSettings &start, TrafficMailbox &traffic, int argc, char **argv)
+      : Path(start.FilePath), Applied(start.Values), Watch(start.FileText), Traffic(traffic),
+        ArgumentCount(argc), Arguments(argv) {
+    Events.setWake([this] {
+      const std::lock_guard lock(Mutex);
+      Woken = true;
+      Condition.notify_one();
+    });
+  }
+
+  SettingsMailbox &mailbox() { return Events; }
+
+  /// Runs until a SettingsEnd message.
+  void run() {
+    while (!Ended) {
+      for (const SettingsEvent &event : awaitEvents())
+        std::visit([this](const auto &it) { handle(it); }, event);
+      check(false);
+    }
+  }
+
+private:
+  std::deque<SettingsEvent> awaitEvents() {
+    std::unique_lock lock(Mutex);
+    const auto isWoken = [this] { return Woken; };
+    if (Path.empty())
+      Condition.wait(lock, isWoken);
+    else
+      Condition.wait_for(lock, SettingsCheckPeriod, isWoken);
+    Woken = false;
+    lock.unlock();
+    return Events.takeAll();
+  }
+
+  void check(bool signalled) {
+    if ((signalled || !Path.empty()) && Watch.check(settingsFileText(Path), signalled))
+      reloadSettings(Applied, Traffic, ArgumentCount, Arguments);
+  }
+
+  void handle(const SettingsSignalled & /*event*/) { check(true); }
+  void handle(const SettingsEnd & /*event*/) { Ended = true; }
+  void handle(const SettingsLook &event) {
+    check(false);
+    if (Watch.isPending()) {
+      std::this_thread::sleep_for(SettingsSettleTime);
+      check(false);
+    }
+    Traffic.put(SettingsLooked{event.Number});
+  }
+
+  std::string Path;
+  Settings Applied;
+  SettingsFileWatch Watch;
+  TrafficMailbox &Traffic;
+  int ArgumentCount;
+  char **Arguments;
+  SettingsMailbox Events;
+  std::mutex Mutex;
+  std::condition_variable Condition;
+  bool Woken = false;
+  bool Ended = false;
+};
+
+/// Passes signals on until one ends the process.
 /// @param signals SIGHUP and the signals that end the process; blocked.
-void followSettings(const ParsedSettings &start, const sigset_t &signals, TrafficMailbox &traffic,
-                    int argc, char **argv) {
-  Settings applied = start.Values;
-  SettingsFileWatch watch(start.FileText);
+void followSignals(const sigset_t &signals, SettingsMailbox &settings) {
   while (true) {
-    const int signal = start.FilePath.empty()
-                           ? sigwaitinfo(&signals, nullptr)
-                           : sigtimedwait(&signals, nullptr, &SettingsCheckPeriod);
+    const int signal = sigwaitinfo(&signals, nullptr);
     if (signal == SIGTERM || signal == SIGINT)
       return;
-    if (watch.check(settingsFileText(start.FilePath), signal == SIGHUP))
-      reloadSettings(applied, traffic, argc, argv);
+    if (signal == SIGHUP)
+      settings.put(SettingsSignalled{});
   }
 }
 
@@ -266,9 +333,13 @@
     std::cerr << "jasmined: " << traffic.error() << "\n";
     return 1;
   }
+  SettingsTask settings(parsed, toTraffic, argc, argv);
+  traffic.setSettingsTask(settings.mailbox());
   std::thread trafficThread([&traffic] { traffic.run(); });
+  std::thread settingsThread([&settings] { settings.run(); });
   std::thread signalThread([&] {
-    followSettings(parsed, signals, toTraffic, argc, argv);
+    followSignals(signals, settings.mailbox());
+    settings.mailbox().put(SettingsEnd{});
     toControl.put(DrainRequested{"signal"});
   });
   ControlSettings controlSetup = controlSettings(values, incarnation);
--- a/src/settings.h
+++ b/src/settings.h
@@ -95,6 +95,9 @@
   /// @returns whether the file is to be read.
   bool check(const std::optional<std::string> &text, bool signalled);
 
+  /// @returns whether the last check found other content than is in effect.
+  bool isPending() const { return ChangedChecks > 0; }
+
 private:
   std::optional<std::string> InEffect;
   std::optional<std::string> Last; ///< At the last check.
--- a/src/task_messages.h
+++ b/src/task_messages.h
@@ -84,6 +84,10 @@
   DurationMs StopTime = 0;
   double RetrySlack = 0;
 };
+/// The settings file has been looked at; changes of it have been sent before.
+struct SettingsLooked {
+  std::uint64_t Number = 0; ///< Of the SettingsLook.
+};
 /// A departure of the local upstream is recorded where it outlives this process.
 struct DepartureRecorded {
   std::uint64_t Number = 0; ///< Of the UpstreamDeparted message.
@@ -100,9 +104,23 @@
   ExplainQuery Query;
 };
 
-using TrafficCommand = std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain,
-                                    ControlFigures, StopTask, ApplySettings, DepartureRecorded,
-                                    DeparturesRestored, ConfigProved, ExplainRequest>;
+using TrafficCommand =
+    std::variant<PublishView, StoreCall, StoreWatchStart, BeginDrain, ControlFigures, StopTask,
+                 ApplySettings, DepartureRecorded, DeparturesRestored, ConfigProved, ExplainRequest,
+                 SettingsLooked>;
+
+// --- To the task that follows the settings ---
+
+/// A signal says that the settings file has changed.
+struct SettingsSignalled {};
+/// The settings file may have changed without a signal.
+struct SettingsLook {
+  std::uint64_t Number = 0;
+};
+/// The process is about to end.
+struct SettingsEnd {};
+
+using SettingsEvent = std::variant<SettingsSignalled, SettingsLook, SettingsEnd>;
 
 // --- To the control task ---
 
@@ -162,6 +180,7 @@
                                   DrainRequested, GateClosing, Drained, TrafficTimelineEvent,
                                   UpstreamDeparted, DeparturesNeeded, ExplainReply>;
 
+using SettingsMailbox = Mailbox<SettingsEvent>;
 using TrafficMailbox = Mailbox<TrafficCommand>;
 using ControlMailbox = Mailbox<ControlEvent>;
 
--- a/src/traffic/traffic_task.cpp
+++ b/src/traffic/traffic_task.cpp
@@ -22,6 +22,9 @@
 constexpr int MaxManagementHeaderBytes = 64 * 1024;
 constexpr int MaxManagementBodyBytes = 256 * 1024;
 constexpr DurationMs HeartbeatCheckPeriod = 250;
+/// Maximum time for which a heartbeat waits for a look at the settings file. Together with the wait
+/// for a departure it is less than the second in which an upstream expects an acknowledgement.
+constexpr DurationMs MaxLookWait = 200;
 constexpr DurationMs StopCheckPeriod = 10;
 /// Time in which the event loop reads what callers had sent before the task stops.
 constexpr DurationMs MinStopTime = 20;
@@ -62,7 +65,8 @@
       DrainTimer(Base.get(), [this] { advanceDrain(); }),
       StopTimer(Base.get(), [this] { advanceStop(); }),
       HeartbeatTimer(Base.get(), [this] { checkHeartbeat(); }),
-      ResponseTimer(Base.get(), [this] { releaseResponses(0, steadyClockMs()); }) {
+      ResponseTimer(Base.get(), [this] { releaseResponses(0, steadyClockMs()); }),
+      HeartbeatHoldTimer(Base.get(), [this] { releaseHeartbeats(0, steadyClockMs()); }) {
   StartedAt = wallClockMs();
   AnnouncedUpstream.setConfiguredService(Settings.LocalService);
   if (Settings.RecordsDepartures)
@@ -276,6 +280,7 @@
 void TrafficTask::handle(StopTask &message) {
   static_cast<void>(message);
   StopSince = steadyClockMs();
+  releaseHeartbeats(LastLook, StopSince);
   for (const HeldResponse &it : std::exchange(HeldResponses, {}))
     sendManagement(it.Request, it.Response);
   Ingress->stopListening();
@@ -304,8 +309,43 @@
   call.Path = evhttp_uri_get_path(uri);
   call.Query = query == nullptr ? "" : query;
   call.Body = textOf(evhttp_request_get_input_buffer(request));
+  const ManagementCall decoded = Env.ReadManagement(call);
+  if (!contradictsSettings(decoded)) {
+    answerManagement(request, decoded);
+    return;
+  }
+  HeldHeartbeats.push_back({request, decoded, ++LastLook, steadyClockMs() + MaxLookWait});
+  HeartbeatHoldTimer.ensure(MaxLookWait);
+  SettingsTask->put(SettingsLook{LastLook});
+}
+
+bool TrafficTask::contradictsSettings(const ManagementCall &call) const {
+  const auto *heartbeat = std::get_if<Announcement>(&call);
+  return SettingsTask != nullptr && heartbeat != nullptr && !Settings.LocalService.empty() &&
+         heartbeat->Service != Settings.LocalService;
+}
+
+void TrafficTask::handle(SettingsLooked &message) {
+  releaseHeartbeats(message.Number, steadyClockMs());
+}
+
+void TrafficTask::releaseHeartbeats(std::uint64_t look, TimeMs now) {
+  std::vector<HeldHeartbeat> waiting;
+  for (HeldHeartbeat &it : std::exchange(HeldHeartbeats, {})) {
+    if (it.Look <= look || now >= it.Due)
+      answerManagement(it.Request, it.Call);
+    else
+      waiting.push_back(std::move(it));
+  }
+  HeldHeartbeats = std::move(waiting);
+  if (!HeldHeartbeats.empty())
+    HeartbeatHoldTimer.start(HeldHeartbeats.front().Due > now ? HeldHeartbeats.front().Due - now
+                                                              : 0);
+}
+
+void TrafficTask::answerManagement(evhttp_request *request, const ManagementCall &call) {
   const ManagementResponse response =
-      std::visit([this](const auto &it) { return handleManagement(it); }, Env.ReadManagement(call));
+      std::visit([this](const auto &it) { return handleManagement(it); }, call);
   if (response.Departure == 0) {
     sendManagement(request, response);
     return;
--- a/src/traffic/traffic_task.h
+++ b/src/traffic/traffic_task.h
@@ -34,6 +34,9 @@
   TrafficTask(const TrafficTask &) = delete;
   TrafficTask &operator=(const TrafficTask &) = delete;
 
+  /// @param settings of the task that follows the settings file. It is asked to look at the file
+  /// before a heartbeat that contradicts the settings is judged.
+  void setSettingsTask(SettingsMailbox &settings) { SettingsTask = &settings; }
   /// @returns false if a port can't be bound; error() has the address.
   bool listen();
   const std::string &error() const { return Error; }
@@ -48,6 +51,13 @@
     ManagementResponse Response;
     TimeMs Due = 0;
   };
+  /// A heartbeat that waits for a look at the settings file.
+  struct HeldHeartbeat {
+    evhttp_request *Request = nullptr;
+    ManagementCall Call;
+    std::uint64_t Look = 0;
+    TimeMs Due = 0;
+  };
   struct DepartureRecord {
     std::uint64_t Number = 0;
     bool Recorded = false;
@@ -68,6 +78,14 @@
   void handle(DeparturesRestored &message);
   void handle(ConfigProved &message);
   void handle(ExplainRequest &message);
+  void handle(SettingsLooked &message);
+  /// @returns whether a heartbeat names another service than the settings, which may have changed.
+  bool contradictsSettings(const ManagementCall &call) const;
+  /// Answers a call.
+  void answerManagement(evhttp_request *request, const ManagementCall &call);
+  /// Answers the heartbeats that wait for a look at the settings.
+  /// @param look number of the last look that has ended.
+  void releaseHeartbeats(std::uint64_t look, TimeMs now);
   void handleManagement(evhttp_request *request);
   ManagementResponse handleManagement(const ReadinessQuery &query);
   ManagementResponse handleManagement(const HealthQuery &query);
@@ -143,6 +161,10 @@
   std::map<std::pair<UpstreamID, TimeMs>, DepartureRecord> Departures;
   std::uint64_t LastDeparture = 0; ///< Number of the last departure.
   Timer ResponseTimer;
+  SettingsMailbox *SettingsTask = nullptr; ///< Null: the settings don't change.
+  std::uint64_t LastLook = 0;
+  std::vector<HeldHeartbeat> HeldHeartbeats;
+  Timer HeartbeatHoldTimer;
   TimeMs StartedAt = 0;       ///< Unix time.
   bool PeersAnswered = false; ///< Other nodes have told the departures that they know.
   bool StoreAsked = false;
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <thread>
 
 using namespace jasmineloom;
@@ -580,6 +581,46 @@
 }
 
 // Guards against the leaving of an earlier server that is taken for that of its successor.
+// Guards against a heartbeat that is judged, and requests that are named, by settings of before.
+BOOST_AUTO_TEST_CASE(heartbeat_that_contradicts_the_settings_waits_for_a_look_at_them) {
+  TrafficSettings settings = testSettings();
+  settings.LocalService = ServiceName("first");
+  TrafficMailbox commands;
+  ControlMailbox control;
+  SettingsMailbox looks;
+  TrafficTask task(settings, platform::platformEnvironment(), commands, control);
+  task.setSettingsTask(looks);
+  BOOST_REQUIRE(task.listen());
+  std::thread thread([&task] { task.run(); });
+  std::atomic<bool> acknowledged = false;
+  std::thread upstream([&acknowledged] {
+    sendHeartbeat("i-1", "second", 1000);
+    acknowledged = true;
+  });
+  std::uint64_t look = 0;
+  for (int n = 0; n < 100 && look == 0; ++n, usleep(1000)) {
+    for (const SettingsEvent &event : looks.takeAll())
+      look = std::get<SettingsLook>(event).Number;
+  }
+  BOOST_TEST(look == 1U);
+  BOOST_TEST(!acknowledged);
+  ApplySettings changed;
+  changed.LocalService = ServiceName("second");
+  changed.HeartbeatInterval = HeartbeatInterval;
+  changed.StopTime = settings.StopTime;
+  commands.put(changed);
+  commands.put(SettingsLooked{look});
+  upstream.join();
+  BOOST_TEST(receive<UpstreamAnnounced>(control).Upstream.Service.str() == "second");
+  // One that fits the settings does not wait, and nobody answers the next look.
+  sendHeartbeat("i-1", "second", 1000, 2);
+  BOOST_TEST(looks.takeAll().empty());
+  sendHeartbeat("i-2", "third", 2000);
+  BOOST_TEST(looks.takeAll().size() == 1U);
+  commands.put(StopTask{});
+  thread.join();
+}
+
 BOOST_AUTO_TEST_CASE(refusal_by_another_process_tells_that_it_is_there_and_nothing_more) {
   PlatformTask task;
   task.Inbox.put(PublishView{viewOfOneGate()});
--- a/tests/upstream_changes.sh
+++ b/tests/upstream_changes.sh
@@ -81,6 +81,13 @@
 check "a settings file that changes without a signal takes effect" eventually names_caller third
 echo "local-service = second" >"$OUT/settings2"
 check "and again" eventually names_caller second
+# Guards against requests that name the earlier service after the heartbeat of the next one.
+echo "local-service = fourth" >"$OUT/settings2"
+check "a heartbeat that the settings contradict is acknowledged" announce 2 6 2000
+check "requests sent after it name the service that the file has by then" names_caller fourth
+echo "local-service = second" >"$OUT/settings2"
+check "a second one is acknowledged" announce 2 6 2000
+check "and the requests after it name the next service" names_caller second
 echo "stop-time = many" >"$OUT/settings2"
 kill -HUP "$NODE_PID_2"
 check "a broken settings file is refused by file and field" eventually grep -q "nothing changed: .*settings2.*stop-time" "$OUT/node2.log"
