--- a/tests/deploy_settings.sh
+++ b/tests/deploy_settings.sh
@@ -35,6 +35,8 @@
 check "a heartbeat interval with a fraction is used" uses heartbeat_interval_ms 1500.25 heartbeat-interval 1500.25
 check "a heartbeat interval beyond the range is bounded" uses heartbeat_interval_ms 1e99 heartbeat-interval 60000
 check "a port that is written as a decimal is used" uses internal_ports.0 7622.0 gate-port 7622
+# Guards against uploads that a configuration allows and the node answers with 413.
+check "bodies of 16 MiB are allowed" uses bounds.grace_s 6 max-body 16777216
 export JASMINE_CAPACITY=0.3333333333333333 JASMINE_REVOCATION_TIME=4999.5
 check "a third of a core is used" uses bounds.grace_s 6 capacity 0.3333333333333333
 check "a revocation time with a fraction is used" uses bounds.grace_s 6 revocation-time 4999.5
