Compare echoes with the incarnation that the node has now

What callers would see: after a node's clock was set back over a restart, requests with keys refused at it, as no peer's proof of the configuration counts.

Cause: a node raises its incarnation when it meets a higher one of an earlier process, and ControlTask compared the echoes of its peers with the incarnation of the start. MeshNode compares now, for cursors and for echoes alike.

--- a/src/control/control_proof.cpp
+++ b/src/control/control_proof.cpp
@@ -186,8 +186,7 @@
         record != nullptr && record->DataCentre != Settings.Identity.DataCentre
             ? ProofSource::OtherDataCentre
             : ProofSource::OwnDataCentre;
-    Proof.recordStatement(message.Host, message.Incarnation,
-                          message.SeenIncarnation == Settings.Identity.Incarnation, statement,
+    Proof.recordStatement(message.Host, message.Incarnation, Node.isAnsweredBy(message), statement,
                           source, Node.config().knownVersion(), bootClockMs());
     publishProof();
   }
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -252,7 +252,7 @@
 }
 
 void MeshNode::receiveAck(const ExchangeMessage &message, Link &link) const {
-  if (message.SeenIncarnation != Identity.Incarnation || message.SeenCursor > Hosts.cursor())
+  if (!isAnsweredBy(message) || message.SeenCursor > Hosts.cursor())
     return;
   if (message.SeenCursor < link.AckedCursor)
     link.ResendUntil = Hosts.cursor();
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -136,6 +136,11 @@
   /// Merges a message from a peer. Duplicated, delayed and reordered messages are harmless.
   StateChanges receiveMessage(const ExchangeMessage &message, TimeMs now);
 
+  /// @returns whether the sender has seen a message of this process, not of an earlier one.
+  bool isAnsweredBy(const ExchangeMessage &message) const {
+    return message.SeenIncarnation == Identity.Incarnation;
+  }
+
   /// @returns whether a message to the peer would contain updates.
   bool hasUpdatesFor(const HostID &peer, bool joining) const;
 
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -357,6 +357,17 @@
                name);
 }
 
+// Guards against proofs of peers that count no more once a node has raised its incarnation.
+BOOST_AUTO_TEST_CASE(answers_to_a_node_that_raised_its_incarnation_are_its_own) {
+  Fixture fixture;
+  fixture.converge();
+  fixture.startWithIncarnation("leaf", 5);
+  fixture.converge();
+  MeshNode &leaf = fixture.node("leaf");
+  BOOST_TEST(leaf.identity().Incarnation > 5U);
+  BOOST_TEST(leaf.isAnsweredBy(fixture.node("relay").buildMessage(HostID("leaf"), false)));
+}
+
 BOOST_AUTO_TEST_CASE(child_that_moved_is_not_marked_gone_by_its_old_parent) {
   Fixture fixture;
   fixture.converge();
