Keep the end of a rollout that the store holds

What callers would see: a rollout taken back after operators were told that it is done and have stopped the old version, so that the service is routed to a version without upstreams.

Cause: of two controllers that decide at the same moment, the later phase won in the mesh and then overwrote "completed" in the store, as a failed compare-and-swap was repeated with it.

Why it works: an end that the store holds is marked by the node that wrote or read it, and goes before any other; the second controller reads the status after its write has failed, and follows. The test asks it in both orders and for the message; it needs the mark, so it was not shown to fail before.

--- a/schema/jasmineloom.capnp
+++ b/schema/jasmineloom.capnp
@@ -147,6 +147,7 @@
   order @8 :UInt64;
   durationMs @9 :UInt64;
   era @10 :UInt64;        # Era of the store in which the order was read.
+  recorded @11 :Bool;     # The store holds this end, so it is final.
 }
 
 struct Evacuation {
--- a/src/control/control_document.cpp
+++ b/src/control/control_document.cpp
@@ -491,6 +491,7 @@
   RolloutProgress restored = progress;
   restored.Phase = stored->Phase;
   restored.Stage = stored->Stage;
+  restored.Recorded = stored->Phase != RolloutPhase::Running;
   // A controller that takes over continues from the stage that was reached.
   if (state.PriorElapsed == 0 && stored->Stage > progress.Stage)
     state.PriorElapsed = earliestStageStart(stored->Stage, progress.Duration);
@@ -500,6 +501,17 @@
     propagateChanges(changes);
 }
 
+void ControlTask::recordOrderEnd(const RolloutProgress &progress) {
+  if (progress.Phase == RolloutPhase::Running)
+    return;
+  RolloutProgress recorded = progress;
+  recorded.Recorded = true;
+  StateChanges changes;
+  changes.ProgressChanged = Node.updateProgress(recorded);
+  if (changes.ProgressChanged)
+    propagateChanges(changes);
+}
+
 void ControlTask::writeOrderStatus(const RolloutProgress &progress, TimeMs now) {
   OrderState &state = Orders[progress.ID];
   state.StatusCallPending = true;
@@ -513,6 +525,7 @@
     if (response.Result == StoreResult::Ok) {
       written.StoredPhase = progress.Phase;
       written.StoredStage = progress.Stage;
+      recordOrderEnd(progress);
     }
     // The next write needs the new revision as its precondition, so the status is read again.
     written.StatusKnown = false;
--- a/src/control/control_task.h
+++ b/src/control/control_task.h
@@ -238,6 +238,8 @@
   void readOrderStatus(const RolloutProgress &progress);
   void receiveOrderStatus(const RolloutProgress &progress, const StoreResponse &response);
   void writeOrderStatus(const RolloutProgress &progress, TimeMs now);
+  /// Marks the end of an order as final, once the store holds it.
+  void recordOrderEnd(const RolloutProgress &progress);
   std::optional<RolloutSpec> orderSpec(const RolloutProgress &progress) const;
   std::optional<RolloutSpec> findRolloutSpec(const RolloutID &id) const;
   kj::Promise<void> documentLoop();
--- a/src/rollout/rollout_func.cpp
+++ b/src/rollout/rollout_func.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace jasmineloom {
 
@@ -58,12 +59,16 @@
   return *this;
 }
 
+bool supersedes(const RolloutProgress &progress, const RolloutProgress &held) {
+  return std::tie(progress.Recorded, progress.Phase) > std::tie(held.Recorded, held.Phase);
+}
+
 bool mergeProgress(RolloutProgress &held, const RolloutProgress &other) {
   const TimeMs suspect = std::max(held.SuspectUntil, other.SuspectUntil);
   const std::uint32_t stage = std::max(held.Stage, other.Stage);
   const std::uint64_t era = std::max(held.Era, other.Era);
-  const bool later = other.Phase > held.Phase;
-  const bool further = other.Phase == held.Phase && other.Stage > held.Stage;
+  const bool later = supersedes(other, held);
+  const bool further = !later && !supersedes(held, other) && other.Stage > held.Stage;
   const bool changed =
       later || further || suspect != held.SuspectUntil || stage != held.Stage || era != held.Era;
   if (later || further)
--- a/src/rollout/rollout_func.h
+++ b/src/rollout/rollout_func.h
@@ -19,6 +19,9 @@
 /// Cap on a suspect version's share.
 constexpr std::uint32_t MaxSuspectShare = 500;
 
+/// @returns whether the phase of a record goes before that of another record of the same rollout.
+bool supersedes(const RolloutProgress &progress, const RolloutProgress &held);
+
 /// Merges progress received from another node.
 /// @returns whether \p held changed.
 bool mergeProgress(RolloutProgress &held, const RolloutProgress &other);
--- a/src/rollout/rollout_order.cpp
+++ b/src/rollout/rollout_order.cpp
@@ -72,8 +72,9 @@
 
 /// Adds what another record of the same order has reached.
 void advance(RolloutProgress &order, const RolloutProgress &other) {
-  if (other.Phase > order.Phase) {
+  if (supersedes(other, order)) {
     order.Phase = other.Phase;
+    order.Recorded = other.Recorded;
     order.Reason = other.Reason;
   }
   order.Stage = std::max(order.Stage, other.Stage);
--- a/src/rollout/rollout_type.h
+++ b/src/rollout/rollout_type.h
@@ -18,7 +18,8 @@
 /// @returns the name used in the time line.
 std::string_view nameOf(RolloutPhase phase);
 
-/// Current state of a rollout. Merging keeps the later phase and the higher stage.
+/// Current state of a rollout. Merging keeps a recorded end, else the later phase, and the higher
+/// stage.
 struct RolloutProgress {
   RolloutID ID;
   RolloutPhase Phase = RolloutPhase::Running;
@@ -31,6 +32,8 @@
   std::uint64_t Order = 0; ///< Number of the operator's order; 0: a declared rollout.
   DurationMs Duration = 0; ///< Time that the order allows for the rollout.
   std::uint64_t Era = 0;   ///< Era of the store in which the order was read; 0: not stated.
+  /// The store holds this end, and operators have acted on it: it is final.
+  bool Recorded = false;
   auto operator<=>(const RolloutProgress &) const = default;
 };
 
--- a/src/wire_func.cpp
+++ b/src/wire_func.cpp
@@ -105,6 +105,7 @@
   to.setOrder(progress.Order);
   to.setDurationMs(progress.Duration);
   to.setEra(progress.Era);
+  to.setRecorded(progress.Recorded);
 }
 
 RolloutProgress readProgress(wire::RolloutProgress::Reader from) {
@@ -118,7 +119,8 @@
           from.getSuspectUntilMs(),
           from.getOrder(),
           from.getDurationMs(),
-          from.getEra()};
+          from.getEra(),
+          from.getRecorded()};
 }
 
 void writeEvidence(wire::EvidenceReport::Builder to, const EvidenceReport &report) {
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -542,6 +542,35 @@
   }
 }
 
+// Guards against a rollout that is taken back after operators were told that it is done, and have
+// stopped the old version; in each order in which the news may come.
+BOOST_AUTO_TEST_CASE(an_end_that_the_store_holds_is_final) {
+  RolloutProgress recorded;
+  recorded.Phase = RolloutPhase::Done;
+  recorded.Stage = 4;
+  recorded.Recorded = true;
+  RolloutProgress verdict;
+  verdict.Phase = RolloutPhase::TakenBack;
+  verdict.Stage = 3;
+  for (const bool verdictFirst : {true, false}) {
+    RolloutProgress held;
+    mergeProgress(held, verdictFirst ? verdict : recorded);
+    BOOST_TEST(mergeProgress(held, verdictFirst ? recorded : verdict) == verdictFirst);
+    BOOST_TEST((held.Phase == RolloutPhase::Done));
+    BOOST_TEST(held.Recorded);
+    BOOST_TEST(held.Stage == 4U);
+    // It travels with its mark.
+    capnp::MallocMessageBuilder message;
+    writeProgress(message.initRoot<wire::RolloutProgress>(), held);
+    BOOST_TEST((readProgress(message.getRoot<wire::RolloutProgress>().asReader()) == held));
+  }
+  // An end that nobody was told of yet is overruled by a verdict.
+  RolloutProgress unrecorded = recorded;
+  unrecorded.Recorded = false;
+  BOOST_TEST(mergeProgress(unrecorded, verdict));
+  BOOST_TEST((unrecorded.Phase == RolloutPhase::TakenBack));
+}
+
 BOOST_AUTO_TEST_CASE(merged_progress_is_monotonic) {
   std::mt19937 random(3);
   for (int run = 0; run < 200; ++run) {
