--- a/src/config/declarations.cpp
+++ b/src/config/declarations.cpp
@@ -15,6 +15,24 @@
 
 namespace {
 
+std::string textOf(capnp::JsonValue::Reader value) {
+  KJ_REQUIRE(value.isString(), "service of split must be a string");
+  return value.getString().cStr();
+}
+
+double numberOf(capnp::JsonValue::Reader value) {
+  KJ_REQUIRE(value.isNumber(), "weight of split must be a number");
+  return value.getNumber();
+}
+
+void readField(kj::StringPtr name, capnp::JsonValue::Reader value, SplitPart &part) {
+  KJ_REQUIRE(name == "service" || name == "weight", "split has an unknown field", name);
+  if (name == "service")
+    part.Service = ServiceName(textOf(value));
+  else
+    part.Weight = numberOf(value);
+}
+
 /// Reads and writes the two fields for a weight as one number, `weight`.
 class SplitPartHandler final : public capnp::JsonCodec::Handler<wire::SplitPart> {
 public:
@@ -32,19 +50,8 @@
               wire::SplitPart::Builder output) const override {
     KJ_REQUIRE(input.isObject(), "an entry of split must be an object");
     SplitPart part;
-    for (const auto field : input.getObject()) {
-      const kj::StringPtr name = field.getName();
-      const auto value = field.getValue();
-      if (name == "service") {
-        KJ_REQUIRE(value.isString(), "service of split must be a string");
-        part.Service = ServiceName(value.getString().cStr());
-      } else if (name == "weight") {
-        KJ_REQUIRE(value.isNumber(), "weight of split must be a number");
-        part.Weight = value.getNumber();
-      } else {
-        KJ_FAIL_REQUIRE("split has an unknown field", name);
-      }
-    }
+    for (const auto field : input.getObject())
+      readField(field.getName(), field.getValue(), part);
     writeSplitPart(output, part);
   }
 };
@@ -52,8 +59,8 @@
 } // namespace
 
 void addDeclarationHandlers(capnp::JsonCodec &codec) {
-  static SplitPartHandler SplitParts;
-  codec.addTypeHandler(SplitParts);
+  static SplitPartHandler splitParts;
+  codec.addTypeHandler(splitParts);
 }
 
 absl::StatusOr<std::vector<ConfigObject>> parseDeclarations(const std::string &name,
