Ask other hosts for a version while a slow parent is avoided

Cause: a node fetches only from hosts that have stated to it that they hold a version. For a leaf these are its parents; where the one that has the version is overloaded, each fetch from it times out, and after the retry delay it is the only host to ask again.

Ruled out: the store (these nodes don't read it), and a wait that newer news starts again.

Why it works: after a fetch that was not answered the node asks the other candidates for a parent, which come after every host that has stated the version.

--- a/src/control/control_config.cpp
+++ b/src/control/control_config.cpp
@@ -22,7 +22,11 @@
 void ControlTask::fetchConfig() {
   const TimeMs now = steadyClockMs();
   const bool mayRead = readsDocument(now) && !StoreSilent;
-  const std::optional<HostID> source = Node.startFetch(mayRead ? DocumentReadTime : 0, now);
+  // A peer that did not answer may be slow; the other candidates for a parent are asked meanwhile.
+  const std::vector<HostID> alternatives =
+      FetchFailures == 0 ? std::vector<HostID>() : Position.Parents;
+  const std::optional<HostID> source =
+      Node.startFetch(mayRead ? DocumentReadTime : 0, now, alternatives);
   if (!source.has_value())
     return;
   spawn(fetchConfigFrom(*source, Node.hosts().find(*source)->RpcAddress)
@@ -65,8 +69,11 @@
   recordEvent("config", absl::StrCat("version ", delta->Version),
               absl::StrCat("received from ", source.str(), ": ",
                            transferText(delta->BaseVersion, delta->Upserts.size(), update.size())));
-  FetchFailures = 0;
-  propagateChanges(Node.finishFetch(*delta, steadyClockMs()));
+  const StateChanges changes = Node.finishFetch(*delta, steadyClockMs());
+  // A host that holds nothing newer leaves the next one to be asked.
+  if (changes.ConfigApplied)
+    FetchFailures = 0;
+  propagateChanges(changes);
 }
 
 } // namespace jasmineloom
--- a/src/mesh/config_fetch.cpp
+++ b/src/mesh/config_fetch.cpp
@@ -10,10 +10,11 @@
 /// Number of retry delays for which a peer is avoided after its configuration was refused.
 constexpr DurationMs RefusedDelayFactor = 20;
 
-/// Orders offers: the own data centre first, then parents, then the newest version, then the first.
+/// Orders offers: stated ones first, then the own data centre, then parents, then the newest
+/// version, then the first.
 bool isBetter(const ConfigOffer &left, const ConfigOffer &right) {
-  return std::tuple(!left.Local, left.IsChild, right.Version, left.KnownSince) <
-         std::tuple(!right.Local, right.IsChild, left.Version, right.KnownSince);
+  return std::tuple(left.IsAssumed, !left.Local, left.IsChild, right.Version, left.KnownSince) <
+         std::tuple(right.IsAssumed, !right.Local, right.IsChild, left.Version, right.KnownSince);
 }
 
 } // namespace
--- a/src/mesh/config_fetch.h
+++ b/src/mesh/config_fetch.h
@@ -13,9 +13,10 @@
 struct ConfigOffer {
   HostID Peer;
   ConfigVersion Version = 0;
-  TimeMs KnownSince = 0; ///< When this node first learned that it lacks what the peer holds.
-  bool Local = false;    ///< In the node's own data centre.
-  bool IsChild = false;  ///< Reports to this node.
+  TimeMs KnownSince = 0;  ///< When this node first learned that it lacks what the peer holds.
+  bool Local = false;     ///< In the node's own data centre.
+  bool IsChild = false;   ///< Reports to this node.
+  bool IsAssumed = false; ///< The peer has not stated that it holds the version.
   auto operator<=>(const ConfigOffer &) const = default;
 };
 
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -119,7 +119,7 @@
   return link.PeerHeldSince;
 }
 
-std::vector<ConfigOffer> MeshNode::configOffers() const {
+std::vector<ConfigOffer> MeshNode::configOffers(const std::vector<HostID> &alternatives) const {
   std::vector<ConfigOffer> offers;
   for (const auto &[peer, link] : Links) {
     const HostRecord *record = Hosts.find(peer);
@@ -130,11 +130,22 @@
     offers.push_back({peer, link.PeerHeldVersion, lackedSince(link),
                       record->DataCentre == Identity.DataCentre, link.IsChild});
   }
+  if (offers.empty())
+    return offers;
+  const ConfigOffer stated = offers.front();
+  for (const HostID &host : alternatives) {
+    const HostRecord *record = Hosts.find(host);
+    if (Links.contains(host) || record == nullptr || record->State == HostState::Gone)
+      continue;
+    offers.push_back({host, stated.Version, stated.KnownSince,
+                      record->DataCentre == Identity.DataCentre, false, true});
+  }
   return offers;
 }
 
-std::optional<HostID> MeshNode::startFetch(DurationMs minAge, TimeMs now) {
-  return Fetch.inProgress() ? std::nullopt : Fetch.start(configOffers(), minAge, now);
+std::optional<HostID> MeshNode::startFetch(DurationMs minAge, TimeMs now,
+                                           const std::vector<HostID> &alternatives) {
+  return Fetch.inProgress() ? std::nullopt : Fetch.start(configOffers(alternatives), minAge, now);
 }
 
 HeldConfig MeshNode::heldForFetch() const {
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -162,8 +162,11 @@
 
   /// Starts fetching a newer configuration, unless a fetch is in progress.
   /// @param minAge time for which it must be known that a peer holds the newer version.
+  /// @param alternatives other hosts that probably hold what a peer has stated; they are asked
+  /// while a peer that did not answer is avoided, as it may be slow.
   /// @returns the peer to fetch from; nullopt if there is nothing to fetch.
-  std::optional<HostID> startFetch(DurationMs minAge, TimeMs now);
+  std::optional<HostID> startFetch(DurationMs minAge, TimeMs now,
+                                   const std::vector<HostID> &alternatives = {});
 
   /// @returns what to state in a fetch.
   HeldConfig heldForFetch() const;
@@ -247,7 +250,7 @@
 
 private:
   bool hasNewVersionFor(const Link &link) const;
-  std::vector<ConfigOffer> configOffers() const;
+  std::vector<ConfigOffer> configOffers(const std::vector<HostID> &alternatives) const;
   bool hasProgressOrSummaryFor(const Link &link, bool joining) const;
   void receiveHeldVersion(const ExchangeMessage &message, Link &link, TimeMs now);
   /// @returns when this node first learned that the peer holds a version that this node lacks.
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -692,6 +692,29 @@
   }
 }
 
+// Guards against a node that asks one slow peer again and again while others could answer.
+BOOST_AUTO_TEST_CASE(another_host_is_asked_while_a_slow_peer_is_avoided) {
+  StormFixture fixture(true);
+  HostRecord other;
+  other.Host = HostID("other");
+  other.Incarnation = 1;
+  other.Sequence = 1;
+  other.DataCentre = DataCentreName("b");
+  fixture.Reader.mergeRecords({other}, HostID("peer"), StartTime);
+  const std::vector<HostID> alternatives = {HostID("unknown"), HostID("peer"), HostID("other")};
+  // Nothing is asked for that nobody has stated.
+  BOOST_TEST(!fixture.Reader.startFetch(0, StartTime, alternatives).has_value());
+  fixture.state(1, StartTime);
+  BOOST_TEST((fixture.Reader.startFetch(0, StartTime, alternatives) == HostID("peer")));
+  fixture.Reader.abandonFetch(StartTime + 500);
+  BOOST_TEST((fixture.Reader.startFetch(0, StartTime + 500, alternatives) == HostID("other")));
+  // It did not answer either.
+  fixture.Reader.abandonFetch(StartTime + 600);
+  BOOST_TEST(!fixture.Reader.startFetch(0, StartTime + 600, alternatives).has_value());
+  BOOST_TEST((fixture.Reader.startFetch(0, StartTime + 501 + FetchRetryDelay, alternatives) ==
+              HostID("peer")));
+}
+
 // Guards against a peer that is avoided for long because an earlier version was refused, although
 // it holds a later one.
 BOOST_AUTO_TEST_CASE(a_refused_version_does_not_put_off_the_next_one) {
