Tell a gate that starts which requests crash upstreams

Cause: the crashes that a gate knows live in its process. A crash is reported once, to the gates that are there; a node that starts later, or that the report does not reach, passes the request on.

Why it works: the four gates next in the order of the hosts tell it what they know; counts are compared, not added, and keep their age. A request in the tenths of a second before the call is still passed on.

--- a/src/admission/gate_base.cpp
+++ b/src/admission/gate_base.cpp
@@ -32,7 +32,7 @@
   return absl::StrCat(upstream.ID, "@", upstream.ProcessStart);
 }
 
-void CrashTracker::recordCrash(std::uint64_t fingerprint, TimeMs now) {
+CrashTracker::Entry &CrashTracker::entryFor(std::uint64_t fingerprint, TimeMs now) {
   if (Entries.size() >= MaxFingerprints) {
     const auto oldest =
         std::min_element(Entries.begin(), Entries.end(), [](const auto &left, const auto &right) {
@@ -42,11 +42,33 @@
   }
   Entry &entry = Entries[fingerprint];
   if (now >= entry.Last + QuarantineTime)
-    entry.Crashes = 0;
+    entry = {};
+  return entry;
+}
+
+void CrashTracker::recordCrash(std::uint64_t fingerprint, TimeMs now) {
+  Entry &entry = entryFor(fingerprint, now);
   ++entry.Crashes;
   entry.Last = now;
 }
 
+std::vector<KnownCrashes> CrashTracker::known(TimeMs now) const {
+  std::vector<KnownCrashes> known;
+  for (const auto &[fingerprint, entry] : Entries) {
+    if (now < entry.Last + QuarantineTime)
+      known.push_back({fingerprint, entry.Crashes, now - std::min(now, entry.Last)});
+  }
+  return known;
+}
+
+void CrashTracker::learn(const KnownCrashes &told, TimeMs now) {
+  if (told.Crashes == 0 || told.Age >= QuarantineTime || told.Age > now)
+    return;
+  Entry &entry = entryFor(told.Fingerprint, now);
+  entry.Crashes = std::max(entry.Crashes, told.Crashes);
+  entry.Last = std::max(entry.Last, now - told.Age);
+}
+
 void CrashTracker::markSuspect(std::uint64_t fingerprint, TimeMs now) {
   if (!suspect(fingerprint, now))
     recordCrash(fingerprint, now);
--- a/src/admission/gate_base.h
+++ b/src/admission/gate_base.h
@@ -108,6 +108,14 @@
 /// with less it would most likely be cut off before it ends.
 constexpr double MinServiceTimeShare = 0.5;
 
+/// Crashes of upstreams that a gate knows of, in the form in which it tells another gate.
+struct KnownCrashes {
+  std::uint64_t Fingerprint = 0;
+  std::uint32_t Crashes = 0;
+  DurationMs Age = 0; ///< Time since the last crash.
+  auto operator<=>(const KnownCrashes &) const = default;
+};
+
 /// Counts upstream crashes by the fingerprints of the requests in flight. One crash makes a
 /// fingerprint suspect. A gate runs one suspect at a time and attributes a crash to the suspect
 /// alone, so that the second crash, which quarantines it, can't be due to another request.
@@ -117,6 +125,10 @@
   void recordCrash(std::uint64_t fingerprint, TimeMs now);
   /// Makes a fingerprint suspect, as reported by another node. No effect if it is suspect already.
   void markSuspect(std::uint64_t fingerprint, TimeMs now);
+  /// @returns the crashes that still count.
+  std::vector<KnownCrashes> known(TimeMs now) const;
+  /// Applies what another gate knows. Both may know the same crash, so the counts don't add up.
+  void learn(const KnownCrashes &told, TimeMs now);
   /// Removes a fingerprint after one of its requests succeeded.
   void clear(std::uint64_t fingerprint);
   bool suspect(std::uint64_t fingerprint, TimeMs now) const;
@@ -127,6 +139,9 @@
     std::uint32_t Crashes = 0;
     TimeMs Last = 0;
   };
+  /// @returns the entry of a fingerprint, a new one if the present one does not count any more.
+  Entry &entryFor(std::uint64_t fingerprint, TimeMs now);
+
   std::unordered_map<std::uint64_t, Entry> Entries;
 };
 
--- a/src/traffic/gate_peers.cpp
+++ b/src/traffic/gate_peers.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace jasmineloom {
 
@@ -41,14 +42,22 @@
   return {};
 }
 
-std::vector<std::string> GateTask::peerGates() const {
-  std::vector<std::string> gates;
+std::vector<HostRecord> GateTask::gatesOfService() const {
+  std::vector<HostRecord> gates;
   if (!View)
     return gates;
-  for (const HostRecord &record : View->Hosts) {
-    const bool isPeer = record.Service == AdmissionControl.upstream().Service &&
-                        record.Host != Settings.Host && record.State != HostState::Gone;
-    if (isPeer)
+  const ServiceName &service = AdmissionControl.upstream().Service;
+  std::copy_if(View->Hosts.begin(), View->Hosts.end(), std::back_inserter(gates),
+               [&service](const HostRecord &record) {
+                 return record.Service == service && record.State != HostState::Gone;
+               });
+  return gates;
+}
+
+std::vector<std::string> GateTask::peerGates() const {
+  std::vector<std::string> gates;
+  for (const HostRecord &record : gatesOfService()) {
+    if (record.Host != Settings.Host)
       gates.push_back(record.GateAddress);
   }
   return gates;
@@ -238,4 +247,27 @@
   Server.reply(request.ID, {StatusOk, {}, nullptr});
 }
 
+void GateTask::handlePeerCall(const CrashNewsCall &, const HttpRequest &request) {
+  const TimeMs now = steadyClockMs();
+  for (const KnownCrashes &told : decodeCrashes(textOf(request.Body.get())))
+    AdmissionControl.crashes().learn(told, now);
+  Server.reply(request.ID, {StatusOk, {}, nullptr});
+}
+
+void GateTask::tellCrashes() {
+  const std::vector<KnownCrashes> known = AdmissionControl.crashes().known(steadyClockMs());
+  for (const HostRecord &gate : News.takeOwed()) {
+    if (known.empty())
+      continue;
+    HttpCall call = makePeerCall(CrashesPath);
+    call.Method = EVHTTP_REQ_POST;
+    call.Body = makeBuffer(encodeCrashes(known));
+    Pool.call(gate.GateAddress, std::move(call),
+              [this, host = gate.Host](const HttpResult &result) {
+                if (!result.Complete)
+                  News.recordFailure(host);
+              });
+  }
+}
+
 } // namespace jasmineloom
--- a/src/traffic/gate_task.cpp
+++ b/src/traffic/gate_task.cpp
@@ -85,7 +85,8 @@
            ListenerReadTimeout},
           [this](HttpRequest request) { handleRequest(std::move(request)); },
           [this](RequestID id) { handleDisconnect(id); }, &held),
-      QueueTimer(base, [this] { tick(); }), EvidenceTimer(base, [this] { sendEvidence(); }),
+      News(settings.Host), QueueTimer(base, [this] { tick(); }),
+      EvidenceTimer(base, [this] { sendEvidence(); }),
       CrashCheckTimer(base, [this] { checkForCrash(); }),
       ReplacementTimer(base, [this] { endReplacedCalls(false); }), Log("gate") {
   EvidenceTimer.start(EvidencePeriod);
@@ -108,6 +109,8 @@
   Stats.setEvacuated(AdmissionControl.evacuated());
   AdmissionControl.setTakenBack(service != nullptr &&
                                 !mayServe(*service, AdmissionControl.upstream().Version));
+  News.setGates(gatesOfService());
+  tellCrashes();
   processReleased(AdmissionControl.tick(now));
 }
 
--- a/src/traffic/gate_task.h
+++ b/src/traffic/gate_task.h
@@ -5,6 +5,7 @@
 #include "environment.h"
 #include "http/http_server.h"
 #include "task_messages.h"
+#include "traffic/crash_news.h"
 #include "traffic/key_table.h"
 #include "traffic/metrics.h"
 #include "traffic/peer_call.h"
@@ -100,6 +101,9 @@
   void handlePeerCall(const KeyTransferCall &call, const HttpRequest &request);
   void handlePeerCall(const CrashReportCall &call, const HttpRequest &request);
   void handlePeerCall(const QuotaAskCall &call, const HttpRequest &request);
+  void handlePeerCall(const CrashNewsCall &call, const HttpRequest &request);
+  /// @returns the records of the gates of the service, this one included.
+  std::vector<HostRecord> gatesOfService() const;
   std::vector<std::string> peerGates() const;
   void handleDisconnect(RequestID id);
   void startRequest(RequestContext &context);
@@ -125,6 +129,8 @@
   /// Writes to the time line when the upstream becomes cold or warm.
   void recordWarmUpChange(TimeMs now);
   void reportCrash();
+  /// Tells the crashes to the gates that this one owes them.
+  void tellCrashes();
   void respond(RequestContext &context, HttpResult result);
   std::string loadHeaderValue() const;
   void handleUpstreamResult(RequestID id, HttpResult result);
@@ -163,7 +169,8 @@
   std::map<std::uint64_t, EvidenceCounts> Evidence; ///< By time bucket.
   TimeMs WarmAt = 0;                                ///< Latencies are evidence from this time on.
   std::vector<std::uint64_t> CutFingerprints; ///< Of upstream cuts, until the crash check ends.
-  std::map<HostID, TimeMs> UnreachableUntil;  ///< Key holders that did not respond.
+  CrashNews News;
+  std::map<HostID, TimeMs> UnreachableUntil; ///< Key holders that did not respond.
   Timer QueueTimer;
   Timer EvidenceTimer;
   Timer CrashCheckTimer;
--- a/src/traffic/gate_upstream.cpp
+++ b/src/traffic/gate_upstream.cpp
@@ -319,9 +319,15 @@
   AdmissionControl.warmUp().suspect(now);
   for (const std::uint64_t fingerprint : AdmissionControl.crashSuspects(CutFingerprints, now)) {
     AdmissionControl.crashes().recordCrash(fingerprint, now);
-    for (const std::string &gate : peerGates())
-      Pool.call(gate, makePeerCall(absl::StrCat(CrashPath, fingerprint)),
-                [](const HttpResult &) {});
+    for (const HostRecord &gate : gatesOfService()) {
+      if (gate.Host == Settings.Host)
+        continue;
+      Pool.call(gate.GateAddress, makePeerCall(absl::StrCat(CrashPath, fingerprint)),
+                [this, host = gate.Host](const HttpResult &result) {
+                  if (!result.Complete)
+                    News.recordFailure(host);
+                });
+    }
   }
 }
 
@@ -330,6 +336,7 @@
   recordWarmUpChange(steadyClockMs());
   if (!View)
     return;
+  tellCrashes();
   const std::uint64_t bucket = steadyClockMs() / EvidenceBucketMs;
   const ServiceView *service = View->serviceNamed(AdmissionControl.upstream().Service);
   if (service != nullptr && service->Rollout.has_value()) {
--- a/src/traffic/peer_call.cpp
+++ b/src/traffic/peer_call.cpp
@@ -24,6 +24,8 @@
   const absl::string_view text(path.data(), path.size());
   if (text == KeysPath)
     return KeyTransferCall{};
+  if (text == CrashesPath)
+    return CrashNewsCall{};
   if (text == QuotaPath)
     return QuotaAskCall{};
   if (const auto key = numberAfter(text, ClaimPath); key.has_value())
--- a/src/traffic/peer_call.h
+++ b/src/traffic/peer_call.h
@@ -12,6 +12,7 @@
 constexpr const char *ClaimPath = "/.jasmineloom/claim/";
 constexpr const char *ReleasePath = "/.jasmineloom/release/";
 constexpr const char *CrashPath = "/.jasmineloom/crash/";
+constexpr const char *CrashesPath = "/.jasmineloom/crashes";
 constexpr const char *KeysPath = "/.jasmineloom/keys";
 constexpr const char *QuotaPath = "/.jasmineloom/quota";
 
@@ -30,6 +31,10 @@
   std::uint64_t Fingerprint = 0;
   auto operator<=>(const CrashReportCall &) const = default;
 };
+/// Tells a gate that has started the crashes in the request's body, see encodeCrashes().
+struct CrashNewsCall {
+  auto operator<=>(const CrashNewsCall &) const = default;
+};
 /// Hands over the keys in the request's body.
 struct KeyTransferCall {
   auto operator<=>(const KeyTransferCall &) const = default;
@@ -42,8 +47,8 @@
 struct InvalidPeerCall {
   auto operator<=>(const InvalidPeerCall &) const = default;
 };
-using PeerCall = std::variant<ClaimCall, ReleaseCall, CrashReportCall, KeyTransferCall,
-                              QuotaAskCall, InvalidPeerCall>;
+using PeerCall = std::variant<ClaimCall, ReleaseCall, CrashReportCall, CrashNewsCall,
+                              KeyTransferCall, QuotaAskCall, InvalidPeerCall>;
 
 PeerCall parsePeerCall(std::string_view path);
 
--- a/tests/fuzz/fuzz_messages.cpp
+++ b/tests/fuzz/fuzz_messages.cpp
@@ -3,6 +3,7 @@
 #include "config/delta_codec.h"
 #include "config/head_func.h"
 #include "mesh/mesh_node.h"
+#include "traffic/crash_news.h"
 #include "traffic/peer_call.h"
 #include "wire_func.h"
 
@@ -55,6 +56,7 @@
     break;
   default:
     parsePeerCall(bytes);
+    decodeCrashes(bytes);
   }
   return 0;
 }
--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -290,6 +290,43 @@
     close(fd);
 }
 
+// Guards against a node that starts and passes a request on that has crashed upstreams before.
+BOOST_AUTO_TEST_CASE(a_gate_that_starts_is_told_of_crashing_requests) {
+  PlatformTask task;
+  const int peer = listenOn(UpstreamPort + 1);
+  const auto viewOfIncarnation = [](std::uint64_t incarnation) {
+    auto view = std::make_shared<RoutingView>();
+    view->Services["s"].Name = ServiceName("s");
+    for (const char *host : {"h1", "h2"}) {
+      HostRecord record;
+      record.Host = HostID(host);
+      record.Incarnation = incarnation;
+      record.State = HostState::Ready;
+      record.Service = ServiceName("s");
+      record.GateAddress = absl::StrCat("127.0.0.1:", UpstreamPort + 1);
+      view->Hosts.push_back(record);
+    }
+    return view;
+  };
+  sendHeartbeat("i-1", "s", 10);
+  task.Inbox.put(PublishView{viewOfIncarnation(1)});
+  const int report = connectTo(GatePort);
+  for (int n = 0; n < 2; ++n) {
+    sendText(report, absl::StrCat("GET ", CrashPath, "9 HTTP/1.1\r\nHost: x\r\n", header::Secret,
+                                  ": a-secret-of-the-test\r\n\r\n"));
+    BOOST_TEST(readHead(report).find("HTTP/1.1 200 ") == 0U);
+  }
+  // The peer was there before, so it had the reports itself.
+  BOOST_TEST(!isConnected(peer, 300));
+  task.Inbox.put(PublishView{viewOfIncarnation(2)});
+  BOOST_REQUIRE(isConnected(peer, 2000));
+  const int connection = accept(peer, nullptr, nullptr);
+  BOOST_TEST(readHead(connection).find("POST /.jasmineloom/crashes ") == 0U);
+  BOOST_TEST(readHead(connection).find("9 2 ") == 0U);
+  for (const int fd : {report, connection, peer})
+    close(fd);
+}
+
 // Guards against requests that wait for one service and are run by another one that has taken over
 // the address of its upstream.
 BOOST_AUTO_TEST_CASE(queued_requests_are_not_sent_to_another_service_at_the_address) {
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -5,6 +5,7 @@
 
 #include "admission/gate_base.h"
 #include "balance/placement.h"
+#include "traffic/crash_news.h"
 #include "traffic/drain_rule.h"
 #include "traffic/key_table.h"
 #include "traffic/peer_call.h"
@@ -533,6 +534,56 @@
   BOOST_TEST(tracker.suspect(100 + 2 * MaxFingerprints - 1, Now + 200));
 }
 
+// Guards against gates that count a crash twice, or for longer, as they tell each other of it.
+BOOST_AUTO_TEST_CASE(crashes_told_by_several_gates_count_once) {
+  CrashTracker teller;
+  teller.recordCrash(5, Now);
+  teller.recordCrash(6, Now);
+  teller.recordCrash(6, Now + 10);
+  const std::vector<KnownCrashes> told = decodeCrashes(encodeCrashes(teller.known(Now + 100)));
+  BOOST_TEST(told.size() == 2U);
+  CrashTracker started;
+  for (int gate = 0; gate < 3; ++gate) {
+    for (const KnownCrashes &known : told)
+      started.learn(known, Now + 100);
+  }
+  BOOST_TEST(started.suspect(5, Now + 100));
+  BOOST_TEST(!started.quarantined(5, Now + 100));
+  BOOST_TEST(started.quarantined(6, Now + 10 + QuarantineTime - 1));
+  BOOST_TEST(!started.quarantined(6, Now + 10 + QuarantineTime));
+  BOOST_TEST(teller.known(Now + 10 + QuarantineTime).empty());
+  started.learn({7, 2, QuarantineTime}, Now + QuarantineTime);
+  BOOST_TEST(!started.suspect(7, Now + QuarantineTime));
+  BOOST_TEST((decodeCrashes("1 2\n1 2 x\n-1 2 3\n1 2 3 4\n8 1 0\n") ==
+              std::vector<KnownCrashes>{{8, 1, 0}}));
+}
+
+BOOST_AUTO_TEST_CASE(each_gate_that_starts_is_told_by_the_four_after_it) {
+  std::vector<HostRecord> gates(7);
+  for (std::size_t n = 0; n < gates.size(); ++n) {
+    gates[n].Host = HostID(absl::StrCat("h", n));
+    gates[n].Incarnation = 1;
+  }
+  std::string tellers;
+  for (const HostRecord &self : gates) {
+    CrashNews news(self.Host);
+    news.setGates(gates);
+    news.takeOwed();
+    news.setGates(gates);
+    BOOST_TEST(news.takeOwed().empty());
+    std::vector<HostRecord> changed = gates;
+    changed[5].Incarnation = 2;
+    news.setGates(changed);
+    if (!news.takeOwed().empty())
+      absl::StrAppend(&tellers, self.Host.str(), " ");
+    // One that was not reached is told again, unless it has left.
+    news.recordFailure(HostID("h5"));
+    news.recordFailure(HostID("left"));
+    BOOST_TEST((news.takeOwed() == std::vector<HostRecord>{changed[5]}));
+  }
+  BOOST_TEST(tellers == "h0 h1 h2 h6 ");
+}
+
 BOOST_AUTO_TEST_CASE(keys_expire_after_the_retention_time_and_a_full_table_evicts_none) {
   KeyTable table;
   BOOST_TEST((table.claim(1, Now) == KeyClaim::New));
@@ -624,6 +675,7 @@
   BOOST_TEST((parsePeerCall("/.jasmineloom/claim/7") == PeerCall(ClaimCall{7})));
   BOOST_TEST((parsePeerCall("/.jasmineloom/release/8") == PeerCall(ReleaseCall{8})));
   BOOST_TEST((parsePeerCall("/.jasmineloom/crash/9") == PeerCall(CrashReportCall{9})));
+  BOOST_TEST((parsePeerCall("/.jasmineloom/crashes") == PeerCall(CrashNewsCall{})));
   BOOST_TEST((parsePeerCall("/.jasmineloom/keys") == PeerCall(KeyTransferCall{})));
   for (const char *path :
        {"/.jasmineloom/", "/.jasmineloom/x", "/.jasmineloom/claim", "/.jasmineloom/claim/",
