Keep the environment of a test alive, and wait longer for its look

The test gave the traffic task an environment that ended with the statement, and the task reads it later (stack-use-after-scope, in the test only: the node keeps its own). It also waited 100 ms for the look, which a build beside it can use up; the wait is for an event, so its limit is 5 s now and all checks are as before. A comment that had slipped to this test is back at its own.

--- a/tests/traffic_task_test.cpp
+++ b/tests/traffic_task_test.cpp
@@ -617,7 +617,6 @@
   }
 }
 
-// Guards against the leaving of an earlier server that is taken for that of its successor.
 // Guards against a heartbeat that is judged, and requests that are named, by settings of before.
 BOOST_AUTO_TEST_CASE(heartbeat_that_contradicts_the_settings_waits_for_a_look_at_them) {
   TrafficSettings settings = testSettings();
@@ -625,7 +624,8 @@
   TrafficMailbox commands;
   ControlMailbox control;
   SettingsMailbox looks;
-  TrafficTask task(settings, platform::platformEnvironment(), commands, control);
+  const Environment environment = platform::platformEnvironment();
+  TrafficTask task(settings, environment, commands, control);
   task.setSettingsTask(looks);
   BOOST_REQUIRE(task.listen());
   std::thread thread([&task] { task.run(); });
@@ -635,7 +635,7 @@
     acknowledged = true;
   });
   std::uint64_t look = 0;
-  for (int n = 0; n < 100 && look == 0; ++n, usleep(1000)) {
+  for (int n = 0; n < 5000 && look == 0; ++n, usleep(1000)) {
     for (const SettingsEvent &event : looks.takeAll())
       look = std::get<SettingsLook>(event).Number;
   }
@@ -658,6 +658,7 @@
   thread.join();
 }
 
+// Guards against the leaving of an earlier server that is taken for that of its successor.
 BOOST_AUTO_TEST_CASE(refusal_by_another_process_tells_that_it_is_there_and_nothing_more) {
   PlatformTask task;
   task.Inbox.put(PublishView{viewOfOneGate()});
