--- /dev/null
+++ b/review/standins-3/standin.cpp
@@ -0,0 +1,77 @@
+/// @file standin.cpp Stand-ins of the third review: standin KIND --flag value ...
+#include "clients.h"
+#include "proxy.h"
+#include "server.h"
+#include "store.h"
+
+#include <csignal>
+
+namespace {
+
+/// Prints free ports of the loopback address.
+int runPorts(const Flags &flags) {
+  std::vector<int> sockets;
+  for (long n = 0; n < flags.number("count"); ++n) {
+    sockaddr_in address = addressOf("127.0.0.1:0");
+    socklen_t size = sizeof(address);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    bind(fd, reinterpret_cast<sockaddr *>(&address), size);
+    getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+    std::printf("%d\n", ntohs(address.sin_port));
+    sockets.push_back(fd);
+  }
+  return 0;
+}
+
+/// Writes --file under --key as the operator does.
+int runPut(const Flags &flags) {
+  const std::string body = "{\"writes\":[{\"key\":\"" + flags.text("key") + "\",\"value\":\"" +
+                           base64Of(fileText(flags.text("file"))) + "\"}]}";
+  Message answer;
+  const std::string head = "POST /kv-txn HTTP/1.1\r\nHost: store\r\n";
+  return callOnce(flags.text("store"), head, body, answer, 4000) == 200 ? 0 : 1;
+}
+
+/// Waits until a GET of --path at --address is answered with 200.
+int runAwait(const Flags &flags) {
+  const std::int64_t until = wallMs() + 1000 * flags.number("seconds", 20);
+  while (wallMs() < until) {
+    Message answer;
+    const std::string head = "GET " + flags.text("path") + " HTTP/1.1\r\nHost: " + flags.text("host", "x") +
+                             "\r\nRequest-Id: await" + std::to_string(wallMs()) + "\r\n";
+    if (callOnce(flags.text("address"), head, "", answer, 3000) == 200)
+      return 0;
+    sleepMs(100);
+  }
+  return 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string kind = argc > 1 ? argv[1] : "";
+  const Flags flags(argc, argv);
+  if (kind == "store")
+    return runStore(flags);
+  if (kind == "server") {
+    static Server server(flags);
+    return server.run();
+  }
+  if (kind == "rate")
+    return runRate(flags);
+  if (kind == "kept")
+    return runKept(flags);
+  if (kind == "slow-reader")
+    return runSlowReader(flags);
+  if (kind == "proxy")
+    return runProxy(flags);
+  if (kind == "put")
+    return runPut(flags);
+  if (kind == "ports")
+    return runPorts(flags);
+  if (kind == "await")
+    return runAwait(flags);
+  std::fprintf(stderr, "unknown stand-in \"%s\"\n", kind.c_str());
+  return 2;
+}
