--- a/review/standins-3/clients.h
+++ b/review/standins-3/clients.h
@@ -142,3 +142,29 @@
          (whole ? "whole" : ended ? "the connection ended" : "the deadline was reached"));
   return 0;
 }
+
+/// A client that sends --count requests at once on one connection. It takes all answers, or closes the
+/// connection after --leave ms.
+inline int runPipeline(const Flags &flags) {
+  Connection connection(connectTo(flags.text("target")));
+  const std::string cookie = "Cookie: c=" + std::string(static_cast<std::size_t>(flags.number("header-bytes")), 'c') + "\r\n";
+  std::string bytes;
+  for (long n = 0; n < flags.number("count"); ++n) {
+    const std::string id = flags.text("prefix", "p") + "-" + std::to_string(n);
+    bytes += headOf(flags, id) + cookie + "\r\n";
+    record("sent " + id);
+  }
+  const std::int64_t until = wallMs() + flags.number("leave", flags.number("deadline", 3000));
+  std::thread sender([&] { sendAll(connection.Fd, bytes); });
+  Message answer;
+  long answers = 0;
+  while (answers < flags.number("count") && connection.read(answer, until)) {
+    ++answers;
+    record("answer " + answer.field("request-id") + " " + answerText(answer));
+  }
+  shutdown(connection.Fd, SHUT_RDWR);
+  sender.join();
+  connection.end();
+  record("left " + flags.text("prefix", "p") + " after " + std::to_string(answers) + " answers");
+  return 0;
+}
--- a/review/standins-3/standin.cpp
+++ b/review/standins-3/standin.cpp
@@ -64,6 +64,8 @@
     return runKept(flags);
   if (kind == "slow-reader")
     return runSlowReader(flags);
+  if (kind == "pipeline")
+    return runPipeline(flags);
   if (kind == "proxy")
     return runProxy(flags);
   if (kind == "put")
