--- a/review/standins-3/mesh.sh
+++ b/review/standins-3/mesh.sh
@@ -1,9 +1,8 @@
 # Starts a small deployment on loopback for the scripts of the third review. Sourced with CASE set to
-# the folder of the case; record.txt is written there.
+# the folder of the case and RECORD to the record to write.
 ROOT=$(cd "$CASE/../.." && pwd)
 BIN=$ROOT/target
 STANDIN=$BIN/review-3/standin
-RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
 DIR=$(mktemp -d)
 PIDS=""
